Serve a search end to end through a daemon and stand-in leaves

Cause: the repository was empty. Change: add the design page, the kernel of plug-ins, settings, the configuration model, the HTTP plug-ins for callers and upstreams, a simple fan-out, and a stand-in leaf over real sockets. Before: nothing ran. Conclusion: the thin path stands; hedging, cold upstreams, admission, store, peers and operators' calls are missing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+SOURCES = hawthornbridge standins measure tests
+
+.PHONY: demo test lint format types measure schema clean
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+env: $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m measure.demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+measure: $(STAMP)
+	$(BIN)/python -m measure.run $(ARGS)
+
+# Writes the committed generated code; needs grpcio-tools, protoc-gen-py and protoc-gen-connectrpc.
+schema:
+	cd hawthornbridge && python3 -m grpc_tools.protoc -I. --py_out=. --connectrpc_out=. operations.proto
--- /dev/null
+++ b/hawthornbridge/outcomes.py
@@ -0,0 +1,42 @@
+"""Outcomes and refusals shared by the modules."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = ["Execution", "Refusal", "RefusalKind"]
+
+
+class Execution(Enum):
+    """State whether a refused request ran at an upstream."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class RefusalKind(Enum):
+    """Name the reason for a refusal."""
+
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_CLASS = "unknown_class"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    STALE_CONFIGURATION = "stale_configuration"
+    NO_UPSTREAM = "no_upstream"
+    STORE_UNAVAILABLE = "store_unavailable"
+    IN_PROGRESS = "in_progress"
+    KEY_EXPIRED = "key_expired"
+    UPSTREAM_FAILED = "upstream_failed"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Refuse a request, saying why and whether it ran."""
+
+    kind: RefusalKind
+    execution: Execution
+    detail: str
+    field: str | None = None
--- /dev/null
+++ b/hawthornbridge/replicas.py
@@ -0,0 +1,26 @@
+"""Policies that choose one replica of a shard."""
+
+import random
+from typing import TYPE_CHECKING
+
+from hawthornbridge.registry import Kind, register
+
+if TYPE_CHECKING:
+    from hawthornbridge.upstreams import UpstreamState
+
+__all__ = ["choose_at_random", "choose_of_two"]
+
+
+@register(Kind.REPLICA_CHOICE, "random")
+def choose_at_random(candidates: "list[UpstreamState]") -> "UpstreamState":
+    """Choose any replica; the naive baseline."""
+    return random.choice(candidates)
+
+
+@register(Kind.REPLICA_CHOICE, "two_choices")
+def choose_of_two(candidates: "list[UpstreamState]") -> "UpstreamState":
+    """Draw two replicas and choose the one with less in flight from this host."""
+    if len(candidates) == 1:
+        return candidates[0]
+    first, second = random.sample(candidates, 2)
+    return first if first.in_flight <= second.in_flight else second
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Demo and measurement programs over the stand-ins."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, used by tests, the demo and measurements."""
--- /dev/null
+++ b/standins/server.py
@@ -0,0 +1,134 @@
+"""A small HTTP/1.1 server, cheap enough to run hundreds of stand-ins in one process."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl
+
+import httptools
+
+__all__ = ["Answer", "Call", "Drop", "Handler", "Server"]
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """Hold one request as it was read."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold the status and JSON body to send."""
+
+    status: int
+    body: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Close the connection without an answer."""
+
+
+Handler = Callable[[Call], Awaitable[Answer | Drop]]
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, server: "Server") -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._url = b""
+        self._body: list[bytes] = []
+        self._task: asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.opened(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        assert self._transport is not None
+        self._server.closed(self._transport)
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        parsed = httptools.parse_url(self._url)
+        body = b"".join(self._body)
+        query = dict(parse_qsl((parsed.query or b"").decode()))
+        method = self._parser.get_method().decode()
+        call = Call(method, parsed.path.decode(), query, json.loads(body) if body else None)
+        self._url = b""
+        self._body = []
+        self._task = asyncio.get_running_loop().create_task(self._respond(call))
+
+    async def _respond(self, call: Call) -> None:
+        answer = await self._server.handler(call)
+        assert self._transport is not None
+        if self._transport.is_closing():
+            return
+        if isinstance(answer, Drop):
+            self._transport.abort()
+            return
+        content = json.dumps(answer.body).encode()
+        phrase = HTTPStatus(answer.status).phrase if answer.status != 499 else "Client Closed Request"
+        head = f"HTTP/1.1 {answer.status} {phrase}\r\ncontent-length: {len(content)}\r\n\r\n"
+        self._transport.write(head.encode() + content)
+
+
+class Server:
+    """Serve one stand-in on a loopback port."""
+
+    def __init__(self, handler: Handler, connection_limit: int | None = None) -> None:
+        self.handler = handler
+        self.port = 0
+        self.most_connections = 0
+        self.refused_connections = 0
+        self._connection_limit = connection_limit
+        self._transports: set[asyncio.Transport] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the address as ip:port."""
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on a loopback port; 0 picks a free one."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Connection(self), "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and reset every connection."""
+        if self._server is not None:
+            self._server.close()
+        for transport in list(self._transports):
+            transport.abort()
+        await asyncio.sleep(0)
+
+    def opened(self, transport: asyncio.Transport) -> None:
+        """Count a connection, and reset it if the limit is passed."""
+        self._transports.add(transport)
+        self.most_connections = max(self.most_connections, len(self._transports))
+        if self._connection_limit is not None and len(self._transports) > self._connection_limit:
+            self.refused_connections += 1
+            transport.abort()
+
+    def closed(self, transport: asyncio.Transport) -> None:
+        """Forget a closed connection."""
+        self._transports.discard(transport)
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,103 @@
+import anyio
+import httpcore
+import msgspec
+import pytest
+
+from hawthornbridge.daemon import Daemon
+from hawthornbridge.ids import ClassName, DomainName, MapId, RouteName, ServiceName, ShardName, UpstreamId, VersionName
+from hawthornbridge.model import (
+    ClassLimits,
+    FailureDomain,
+    PutFailureDomain,
+    PutService,
+    PutShardMap,
+    PutUpstream,
+    Route,
+    Service,
+    ShardMap,
+    Upstream,
+    fold,
+)
+from hawthornbridge.settings import decode
+from standins.leaf import Leaf
+
+SERVICE = ServiceName("pattern-desk")
+SHARDS = [ShardName(f"s{number}") for number in range(4)]
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def settings_for(port):
+    return decode(
+        {
+            "host": {"id": "entry-1", "seat": 0, "seats": 3, "failure_domain": "a", "region": "r1"},
+            "listeners": {
+                "callers": f"127.0.0.1:{port()}",
+                "operators": f"127.0.0.1:{port()}",
+                "peers": f"127.0.0.1:{port()}",
+            },
+            "tokens": {"operators": "operators-token-1", "peers": "peers-token-00001"},
+            "platform": {"store": f"127.0.0.1:{port()}", "host_list": f"127.0.0.1:{port()}"},
+        }
+    )
+
+
+def catalogue_for(leaves):
+    changes = [
+        PutService(
+            Service(
+                name=SERVICE,
+                routes=(Route(RouteName("lookup")),),
+                classes=(ClassLimits(ClassName("default")),),
+                version=VersionName("v1"),
+            )
+        ),
+        PutShardMap(ShardMap(id=MapId("m1"), service=SERVICE, shards=tuple(SHARDS))),
+        *(PutFailureDomain(FailureDomain(name=DomainName(name))) for name in "ab"),
+    ]
+    for number, leaf in enumerate(leaves):
+        upstream = Upstream(
+            id=UpstreamId(f"u{number}"),
+            service=SERVICE,
+            shard=ShardName(leaf.shard),
+            failure_domain=DomainName("ab"[number % 2]),
+            version=VersionName("v1"),
+            address=leaf.server.address,
+            slots=leaf.slots,
+            connections=leaf.connections,
+        )
+        changes.append(PutUpstream(upstream))
+    return fold(changes)
+
+
+async def post(address, path, body):
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request("POST", f"http://{address}{path}", content=msgspec.json.encode(body))
+        return response.status, msgspec.json.decode(response.content)
+
+
+@pytest.mark.anyio
+async def test_a_search_covers_every_shard_through_real_sockets(free_port):
+    leaves = [Leaf(shard=shard) for shard in SHARDS for _ in range(2)]
+    for leaf in leaves:
+        await leaf.start()
+    settings = settings_for(free_port)
+    daemon = Daemon(settings, catalogue_for(leaves))
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(daemon.run)
+        body = {"service": SERVICE, "route": "lookup", "query": "last", "request_id": "q1", "deadline_ms": 1_000}
+        with anyio.fail_after(5):
+            while True:
+                status, answer = await post(settings.listeners.callers, "/v1/search", body)
+                if status == 200 and answer["coverage"]["answered"] == len(SHARDS):
+                    break
+        tasks.cancel_scope.cancel()
+    for leaf in leaves:
+        await leaf.stop()
+    assert answer["coverage"] == {"answered": 4, "total": 4, "missing": []}
+    assert len(answer["hits"]) == 12
+    assert answer["request_id"] == "q1"
+    assert answer["snapshot"] == 1
