--- a/hawthornbridge/store.py
+++ b/hawthornbridge/store.py
@@ -87,7 +87,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseGranted:
-    """Hold a lease that lasts until expires_s, on the clock of anyio.current_time, from before the request was sent."""
+    """Hold a lease that lasts until expires_s on the clock of anyio.current_time, counted from before the request."""
 
     id: LeaseId
     expires_s: float
