Drain and restore failure domains

Cause: operators need to take a failure domain out without overloading the rest, and a drain must end even if the host that accepted it is gone.

Change: domains.py checks capacity and coverage before acceptance and ends each drain by a record in the configuration. The model gets the state DRAINING, FailureDomain.forced and FailureDomain.drain, and PutFailureDomain.relies_on, a typed precondition that lets only one of two drains checked at the same time be accepted.

Conclusion: all state of a drain is in the configuration; any of three hosts ends it.

--- /dev/null
+++ b/hawthornbridge/domains.py
@@ -0,0 +1,460 @@
+"""Drain and restore of failure domains: capacity check, progress, completion and rollback."""
+
+from collections.abc import AsyncIterator, Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol, TypeAlias
+
+import anyio
+import xxhash
+
+from hawthornbridge.acceptance import (
+    Acceptance,
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeInvalid,
+    ChangeLog,
+    HostProgress,
+)
+from hawthornbridge.events import Event, emit
+from hawthornbridge.ids import DomainName, Generation, HostId, OperationId, ServiceName, ShardName
+from hawthornbridge.model import (
+    RELIES_ON_FIELD,
+    Catalogue,
+    DomainGeneration,
+    DomainState,
+    FailureDomain,
+    PutFailureDomain,
+)
+
+__all__ = [
+    "CapacityShort",
+    "DomainMoves",
+    "HostMove",
+    "LoadSource",
+    "MoveProgress",
+    "MoveState",
+    "ShardLoad",
+    "Shortage",
+    "hosts_at",
+    "in_force",
+    "shortages",
+]
+
+# Silence after which the freshness rule has stopped a host: 2.5 s and a margin.
+SILENCE_LIMIT_S = 3.0
+POLL_S = 0.25
+WATCH_INTERVAL_S = 0.5
+# One late heartbeat (500 ms) changes the sums for a moment; a shortage has to outlast two.
+SHORTAGE_CONFIRMED_S = 1.0
+# Hosts that end moves, so that the store gets a bounded number of writes however many hosts there are.
+MOVERS = 3
+# Head start of each mover over the next, so that usually only the first writes.
+MOVER_STAGGER_S = 2.0
+RETRY_S = 1.0
+RETRY_LIMIT_S = 16.0
+# How often a drain is checked again because a domain it relied on has changed meanwhile.
+CHECK_ATTEMPTS = 3
+CATCH_UP_S = 2.0
+STALL_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class ShardLoad:
+    """Hold the load of one shard in one failure domain, summed over hosts.
+
+    `busy` counts sub-requests in flight or waiting, and can exceed `slots`. `replicas` counts the usable upstreams
+    that hold the service's best snapshot.
+    """
+
+    service: ServiceName
+    shard: ShardName
+    failure_domain: DomainName
+    slots: int
+    busy: float
+    replicas: int
+
+
+class LoadSource(Protocol):
+    """Read the load that this host knows of, its own and that heard from other hosts."""
+
+    def shard_loads(self) -> Sequence[ShardLoad]:
+        """Return a row per shard of each service's best snapshot and failure domain that has upstreams for it."""
+
+    def in_flight(self, domain: DomainName) -> Mapping[HostId, int]:
+        """Return each host's sub-requests in flight in a domain, as of the heartbeat that carried its generation."""
+
+    def host_loads(self) -> Mapping[HostId, float]:
+        """Return the share of each host's query slots in use."""
+
+
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """Say how far the remaining failure domains fall short of carrying one shard."""
+
+    service: ServiceName
+    shard: ShardName
+    busy: float
+    slots: int
+    replicas: int
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityShort:
+    """Refuse a drain because the remaining failure domains cannot carry the present load; worst shards first."""
+
+    shortages: tuple[Shortage, ...]
+
+
+DrainOutcome: TypeAlias = Acceptance | CapacityShort
+
+
+class MoveState(Enum):
+    """State how far a move is."""
+
+    IN_PROGRESS = "in_progress"
+    DONE = "done"
+    ROLLED_BACK = "rolled_back"
+    SUPERSEDED = "superseded"
+
+
+@dataclass(frozen=True, slots=True)
+class HostMove:
+    """Hold how far one host has followed a move."""
+
+    host: HostId
+    generation: Generation
+    silent_s: float
+    confirmed: bool
+    in_flight: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MoveProgress:
+    """Hold how far a move is on every host, and why it ended."""
+
+    state: MoveState
+    reason: str
+    hosts: tuple[HostMove, ...]
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """Remember since when a draining domain could be ended in one way, and when to try to."""
+
+    state: DomainState
+    due_s: float
+    retry_s: float = RETRY_S
+
+
+def shortages(catalogue: Catalogue, loads: Iterable[ShardLoad], leaving: Collection[DomainName]) -> list[Shortage]:
+    """Return the shards of the leaving domains that the remaining active ones cannot carry, worst first.
+
+    A shard without upstreams in the leaving domains is left out, since keeping these domains would not help it.
+    """
+    touched = {
+        (upstream.service, upstream.shard)
+        for upstream in catalogue.upstreams.values()
+        if upstream.failure_domain in leaving
+    }
+    remaining = {name for name in catalogue.domains if catalogue.takes_work(name)}.difference(leaving)
+    sums: dict[tuple[ServiceName, ShardName], Shortage] = {}
+    for load in loads:
+        key = (load.service, load.shard)
+        if key not in touched:
+            continue
+        total = sums.get(key, Shortage(load.service, load.shard, 0.0, 0, 0))
+        stays = load.failure_domain in remaining
+        sums[key] = Shortage(
+            load.service,
+            load.shard,
+            total.busy + load.busy,
+            total.slots + (load.slots if stays else 0),
+            total.replicas + (load.replicas if stays else 0),
+        )
+    # Shards of an old map have no rows. A service without any row has an unknown load, which permits no drain.
+    measured = {service for service, _ in sums}
+    for service, shard in touched:
+        if service not in measured:
+            sums[service, shard] = Shortage(service, shard, 0.0, 0, 0)
+    short = [total for total in sums.values() if total.replicas == 0 or total.busy > total.slots]
+    return sorted(short, key=lambda total: (total.replicas > 0, total.slots - total.busy, total.service, total.shard))
+
+
+def hosts_at(
+    progress: Iterable[HostProgress], generation: Generation, in_flight: Mapping[HostId, int] | None = None
+) -> tuple[HostMove, ...]:
+    """Return how far each host has followed a generation; a host that is silent for too long has confirmed it."""
+    known = in_flight or {}
+    return tuple(
+        HostMove(
+            host=host.host,
+            generation=host.generation,
+            silent_s=host.silent_s,
+            confirmed=host.generation >= generation or host.silent_s >= SILENCE_LIMIT_S,
+            # The last figure of a host that can no longer send will never fall.
+            in_flight=known.get(host.host, 0) if host.silent_s < SILENCE_LIMIT_S else 0,
+        )
+        for host in sorted(progress, key=lambda host: host.host)
+    )
+
+
+def in_force(hosts: Iterable[HostMove]) -> bool:
+    """Return whether every host has confirmed."""
+    return all(host.confirmed for host in hosts)
+
+
+class DomainMoves:
+    """Drain and restore failure domains, and end the drains that any host has started.
+
+    All state of a drain is in the configuration: DRAINING when accepted, then DRAINED when done or ACTIVE when rolled
+    back, the last two naming the drain. So any host can watch it and end it.
+    """
+
+    def __init__(self, log: ChangeLog, load: LoadSource, host: HostId) -> None:
+        self._log = log
+        self._load = load
+        self._host = host
+        self._attempts: dict[tuple[DomainName, Generation], _Attempt] = {}
+        self._short_since_s: dict[tuple[DomainName, Generation], float] = {}
+        self._seen_s: dict[tuple[DomainName, Generation], float] = {}
+        self._stalled: set[tuple[DomainName, Generation]] = set()
+
+    async def drain(
+        self,
+        name: DomainName,
+        expected: Generation,
+        operation_id: OperationId,
+        reason: str = "",
+        *,
+        force: bool = False,
+    ) -> DrainOutcome:
+        """Take a failure domain out if the others can carry its load."""
+        outcome: DrainOutcome = ChangeInvalid("failure_domain", "")
+        for _ in range(CHECK_ATTEMPTS):
+            await self._catch_up(expected)
+            catalogue = self._log.catalogue
+            current = catalogue.domains.get(name)
+            invalid = _check_move(name, current, expected, catalogue, DomainState.ACTIVE)
+            if invalid is not None:
+                return invalid
+            draining = FailureDomain(name=name, state=DomainState.DRAINING, reason=reason, forced=force)
+            if force or current is None or current.generation != expected:
+                # A domain that has moved on gives a conflict, or the first result of a repeated operation.
+                return await self._propose(PutFailureDomain(draining), expected, operation_id, force=force)
+            short = shortages(catalogue, self._load.shard_loads(), {name})
+            if short:
+                return await self._refuse(draining, expected, operation_id, short)
+            relies_on = tuple(
+                DomainGeneration(domain.name, domain.generation)
+                for domain in catalogue.domains.values()
+                if domain.name != name and domain.state is DomainState.ACTIVE
+            )
+            outcome = await self._propose(PutFailureDomain(draining, relies_on), expected, operation_id)
+            if not (isinstance(outcome, ChangeInvalid) and outcome.field == RELIES_ON_FIELD):
+                return outcome
+            await self._catch_up(Generation(catalogue.generation + 1))
+        return outcome
+
+    async def restore(
+        self,
+        name: DomainName,
+        expected: Generation,
+        operation_id: OperationId,
+        reason: str = "",
+        *,
+        force: bool = False,
+    ) -> Acceptance:
+        """Return a failure domain to service."""
+        await self._catch_up(expected)
+        catalogue = self._log.catalogue
+        invalid = _check_move(
+            name, catalogue.domains.get(name), expected, catalogue, DomainState.DRAINING, DomainState.DRAINED
+        )
+        if invalid is not None:
+            return invalid
+        change = PutFailureDomain(FailureDomain(name=name, reason=reason))
+        return await self._propose(change, expected, operation_id, force=force)
+
+    def move(self, name: DomainName, generation: Generation) -> MoveProgress:
+        """Return how far the move that was accepted at a generation is."""
+        catalogue = self._log.catalogue
+        hosts = hosts_at(self._log.progress(), generation, self._load.in_flight(name))
+        if catalogue.generation < generation:
+            return MoveProgress(MoveState.IN_PROGRESS, "", hosts)
+        domain = catalogue.domains.get(name)
+        if domain is None:
+            return MoveProgress(MoveState.SUPERSEDED, "the failure domain was removed", hosts)
+        if domain.generation > generation:
+            return MoveProgress(_ended(domain, generation), _end_reason(domain, generation), hosts)
+        done = domain.state is not DomainState.DRAINING and in_force(hosts)
+        if domain.state is DomainState.DRAINED:
+            done = done and not any(host.in_flight for host in hosts)
+        return MoveProgress(MoveState.DONE if done else MoveState.IN_PROGRESS, domain.reason, hosts)
+
+    async def watch(self, name: DomainName, generation: Generation) -> AsyncIterator[MoveProgress]:
+        """Yield the progress of a move until it has ended."""
+        while True:
+            progress = self.move(name, generation)
+            yield progress
+            if progress.state is not MoveState.IN_PROGRESS:
+                return
+            await anyio.sleep(WATCH_INTERVAL_S)
+
+    async def run(self) -> None:
+        """End drains for good: done, or rolled back if capacity or coverage breaks before that."""
+        while True:
+            await self._end_drains()
+            await anyio.sleep(POLL_S)
+
+    async def _end_drains(self) -> None:
+        catalogue = self._log.catalogue
+        draining = [domain for domain in catalogue.domains.values() if domain.state is DomainState.DRAINING]
+        self._forget_all_but({(domain.name, domain.generation) for domain in draining})
+        if not draining:
+            return
+        loads = self._load.shard_loads()
+        now_s = anyio.current_time()
+        # Giving back the latest domain may be enough for the earlier ones to go on.
+        rollback_open = True
+        for domain in sorted(draining, key=lambda domain: domain.generation, reverse=True):
+            key = (domain.name, domain.generation)
+            short = [] if domain.forced else shortages(catalogue, loads, {domain.name})
+            if short:
+                short_s = now_s - self._short_since_s.setdefault(key, now_s)
+                if rollback_open and short_s >= SHORTAGE_CONFIRMED_S:
+                    await self._end(domain, DomainState.ACTIVE, _rollback_reason(short))
+                rollback_open = False
+                continue
+            self._short_since_s.pop(key, None)
+            hosts = hosts_at(self._log.progress(), domain.generation, self._load.in_flight(domain.name))
+            if in_force(hosts) and not any(host.in_flight for host in hosts):
+                await self._end(domain, DomainState.DRAINED, domain.reason)
+            else:
+                self._attempts.pop(key, None)
+                self._report_stall(domain, hosts)
+
+    async def _end(self, domain: FailureDomain, state: DomainState, reason: str) -> None:
+        rank = self._rank(domain)
+        if rank is None:
+            return
+        key = (domain.name, domain.generation)
+        now_s = anyio.current_time()
+        attempt = self._attempts.get(key)
+        if attempt is None or attempt.state is not state:
+            attempt = self._attempts[key] = _Attempt(state, now_s + rank * MOVER_STAGGER_S)
+        if now_s < attempt.due_s:
+            return
+        ended = FailureDomain(
+            name=domain.name, state=state, reason=reason, forced=domain.forced, drain=domain.generation
+        )
+        # The same id on every host: whoever writes second gets the first result.
+        operation_id = OperationId(f"{state.value}:{domain.name}:{domain.generation}")
+        outcome = await self._log.propose(PutFailureDomain(ended), domain.generation, operation_id)
+        match outcome:
+            case ChangeAccepted(generation=generation, repeated=False):
+                event = Event.DRAIN_DONE if state is DomainState.DRAINED else Event.DRAIN_ROLLED_BACK
+                emit(event, failure_domain=domain.name, drain=domain.generation, generation=generation, reason=reason)
+            case ChangeAccepted() | ChangeConflict():
+                pass
+            case _:
+                emit(Event.DRAIN_END_DELAYED, failure_domain=domain.name, outcome=type(outcome).__name__)
+        # An accepted change ends the attempt as soon as this host applies it.
+        attempt.due_s = anyio.current_time() + attempt.retry_s
+        attempt.retry_s = min(attempt.retry_s * 2, RETRY_LIMIT_S)
+
+    def _rank(self, domain: FailureDomain) -> int | None:
+        live = [
+            host.host
+            for host in self._log.progress()
+            if host.host == self._host or (host.silent_s < SILENCE_LIMIT_S and not host.leaving)
+        ]
+        live.sort(key=lambda host: xxhash.xxh3_64_intdigest(f"{domain.name}:{domain.generation}:{host}".encode()))
+        rank = live.index(self._host) if self._host in live else MOVERS
+        return rank if rank < MOVERS else None
+
+    def _report_stall(self, domain: FailureDomain, hosts: tuple[HostMove, ...]) -> None:
+        key = (domain.name, domain.generation)
+        seen_s = self._seen_s.setdefault(key, anyio.current_time())
+        if key in self._stalled or anyio.current_time() - seen_s < STALL_S:
+            return
+        self._stalled.add(key)
+        waiting = [host.host for host in hosts if not host.confirmed or host.in_flight]
+        emit(Event.DRAIN_STALLED, failure_domain=domain.name, drain=domain.generation, hosts=waiting)
+
+    def _forget_all_but(self, keys: set[tuple[DomainName, Generation]]) -> None:
+        for table in (self._attempts, self._short_since_s, self._seen_s):
+            for key in table.keys() - keys:
+                del table[key]
+        self._stalled &= keys
+
+    async def _refuse(
+        self, draining: FailureDomain, expected: Generation, operation_id: OperationId, short: list[Shortage]
+    ) -> DrainOutcome:
+        # An earlier call with this operation id may have been accepted although this host has not applied it yet.
+        # A change that cannot fit asks for its result without risking to be accepted.
+        never = PutFailureDomain(draining, (DomainGeneration(draining.name, Generation(-1)),))
+        outcome = await self._log.propose(never, expected, operation_id)
+        if not isinstance(outcome, ChangeInvalid):
+            return outcome
+        emit(Event.DRAIN_REFUSED, failure_domain=draining.name, operation_id=operation_id, shards=len(short))
+        return CapacityShort(tuple(short))
+
+    async def _propose(
+        self, change: PutFailureDomain, expected: Generation, operation_id: OperationId, *, force: bool = False
+    ) -> Acceptance:
+        outcome = await self._log.propose(change, expected, operation_id, force=force)
+        if isinstance(outcome, ChangeAccepted) and not outcome.repeated:
+            emit(
+                Event.DOMAIN_MOVE_ACCEPTED,
+                failure_domain=change.domain.name,
+                state=change.domain.state.value,
+                generation=outcome.generation,
+                operation_id=operation_id,
+                forced=force,
+            )
+        return outcome
+
+    async def _catch_up(self, generation: Generation) -> None:
+        with anyio.move_on_after(CATCH_UP_S):
+            await self._log.wait_for(generation)
+
+
+def _check_move(
+    name: DomainName,
+    current: FailureDomain | None,
+    expected: Generation,
+    catalogue: Catalogue,
+    *movable: DomainState,
+) -> ChangeInvalid | None:
+    if catalogue.generation < expected:
+        detail = (
+            f"this host is at generation {catalogue.generation}, so {expected} is not a generation or not here yet"
+        )
+        return ChangeInvalid("expected_generation", detail)
+    if current is None:
+        return ChangeInvalid("failure_domain", f"no failure domain {name!r}")
+    if current.generation == expected and current.state not in movable:
+        return ChangeInvalid("failure_domain", f"{name!r} is {current.state.value} already")
+    return None
+
+
+def _ended(domain: FailureDomain, generation: Generation) -> MoveState:
+    if domain.drain != generation:
+        return MoveState.SUPERSEDED
+    return MoveState.DONE if domain.state is DomainState.DRAINED else MoveState.ROLLED_BACK
+
+
+def _end_reason(domain: FailureDomain, generation: Generation) -> str:
+    if domain.drain == generation:
+        return domain.reason
+    since = f"{domain.state.value} since generation {domain.generation}"
+    return f"{since}: {domain.reason}" if domain.reason else since
+
+
+def _rollback_reason(short: list[Shortage]) -> str:
+    worst = short[0]
+    shard = f"{worst.service} shard {worst.shard}"
+    if worst.replicas == 0:
+        return f"no replica of {shard} remains ({len(short)} shards short)"
+    return f"{shard} has {worst.busy:g} busy for {worst.slots} slots ({len(short)} shards short)"
--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -16,6 +16,16 @@
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
 
+    # 800 to 849: operators' calls and moves of failure domains
+    OPERATOR_CALL = 801
+    OPERATOR_UNAUTHENTICATED = 802
+    DOMAIN_MOVE_ACCEPTED = 810
+    DRAIN_REFUSED = 811
+    DRAIN_DONE = 812
+    DRAIN_ROLLED_BACK = 813
+    DRAIN_END_DELAYED = 814
+    DRAIN_STALLED = 815
+
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its number and fields."""
--- a/hawthornbridge/model.py
+++ b/hawthornbridge/model.py
@@ -21,11 +21,13 @@
 )
 
 __all__ = [
+    "RELIES_ON_FIELD",
     "Catalogue",
     "Change",
     "ChangeRejectedError",
     "ClassLimits",
     "CoverageFirst",
+    "DomainGeneration",
     "DomainState",
     "Entry",
     "FailureDomain",
@@ -51,6 +53,9 @@
     "fold",
 ]
 
+# The field that a refusal names when a domain that a change relies on has changed.
+RELIES_ON_FIELD = "relies_on"
+
 Share: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Count: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Milliseconds: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
@@ -66,9 +71,10 @@
 
 
 class DomainState(Enum):
-    """State whether a failure domain takes new work."""
+    """State whether a failure domain takes new work; only an active one does."""
 
     ACTIVE = "active"
+    DRAINING = "draining"
     DRAINED = "drained"
 
 
@@ -161,6 +167,17 @@
     name: DomainName
     state: DomainState = DomainState.ACTIVE
     reason: str = ""
+    # A forced drain is not rolled back for the shortage that its operator has accepted.
+    forced: bool = False
+    # The generation of the drain that led to this state; 0 if no drain did.
+    drain: Generation = Generation(0)
+
+
+class DomainGeneration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Name the generation at which a decision has seen a failure domain."""
+
+    name: DomainName
+    generation: Generation
 
 
 class Version(Entity, frozen=True, kw_only=True):
@@ -237,9 +254,11 @@
 
 
 class PutFailureDomain(msgspec.Struct, frozen=True, tag="put_failure_domain", forbid_unknown_fields=True):
-    """Create or replace a failure domain; its state says whether it takes new work."""
+    """Create or replace a failure domain, provided that the domains the decision relies on have not changed."""
 
     domain: FailureDomain
+    # Two drains checked at the same time would each count on the other's domain; with this only one is accepted.
+    relies_on: tuple[DomainGeneration, ...] = ()
 
 
 class RemoveFailureDomain(msgspec.Struct, frozen=True, tag="remove_failure_domain", forbid_unknown_fields=True):
@@ -359,7 +378,14 @@
             case RemoveUpstream(id):
                 self._require("id", id in self.upstreams, f"no upstream {id!r}")
                 return replace(self, upstreams=_without(self.upstreams, id))
-            case PutFailureDomain(domain):
+            case PutFailureDomain(domain, relies_on):
+                for relied in relies_on:
+                    current = self.domains.get(relied.name)
+                    self._require(
+                        RELIES_ON_FIELD,
+                        current is not None and current.generation == relied.generation,
+                        f"failure domain {relied.name!r} is not at generation {relied.generation}",
+                    )
                 return replace(self, domains=self.domains | {domain.name: _stamp(domain, generation)})
             case RemoveFailureDomain(name):
                 self._require("name", name in self.domains, f"no failure domain {name!r}")
--- /dev/null
+++ b/tests/test_domains.py
@@ -0,0 +1,315 @@
+import anyio
+import pytest
+from fakechangelog import FakeChangeLog, FakeHead
+
+from hawthornbridge.acceptance import ChangeAccepted, ChangeConflict, ChangeInvalid, ChangeNotAccepted
+from hawthornbridge.domains import CapacityShort, DomainMoves, MoveState, ShardLoad, Shortage, shortages
+from hawthornbridge.model import (
+    DomainState,
+    FailureDomain,
+    PutFailureDomain,
+    PutService,
+    PutShardMap,
+    PutUpstream,
+    Service,
+    ShardMap,
+    Upstream,
+    fold,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+def catalogue():
+    """One shard with an upstream in each of the domains a, b and c, whose generations are 1, 2 and 3."""
+    return fold(
+        [
+            *(PutFailureDomain(FailureDomain(name=name)) for name in "abc"),
+            PutService(Service(name="desk", routes=(), classes=(), version="v1")),
+            PutShardMap(ShardMap(id="m", service="desk", shards=("s0",))),
+            *(
+                PutUpstream(
+                    Upstream(
+                        id=f"u-{name}",
+                        service="desk",
+                        shard="s0",
+                        failure_domain=name,
+                        version="v1",
+                        address="127.0.0.1:1",
+                        slots=2,
+                        connections=25,
+                    )
+                )
+                for name in "abc"
+            ),
+        ]
+    )
+
+
+class FakeLoad:
+    def __init__(self, busy=0.5, slots=2):
+        self.rows = {name: ShardLoad("desk", "s0", name, slots, busy, 1) for name in "abc"}
+        self.flying = {}
+
+    def set(self, domain, slots=2, busy=0.5, replicas=1):
+        self.rows[domain] = ShardLoad("desk", "s0", domain, slots, busy, replicas)
+
+    def shard_loads(self):
+        return list(self.rows.values())
+
+    def in_flight(self, domain):
+        return self.flying.get(domain, {})
+
+    def host_loads(self):
+        return {}
+
+
+class Fleet:
+    """Two hosts that share one head, each with its own domain moves."""
+
+    def __init__(self, load=None):
+        self.head = FakeHead(catalogue())
+        self.load = load or FakeLoad()
+        self.logs = [FakeChangeLog(self.head, "h1"), FakeChangeLog(self.head, "h2")]
+        self.moves = [DomainMoves(log, self.load, host) for log, host in zip(self.logs, ("h1", "h2"), strict=True)]
+        for log in self.logs:
+            log.set_host("h1")
+            log.set_host("h2")
+
+    def set_host(self, host, generation=None, silent_s=0.0):
+        for log in self.logs:
+            log.set_host(host, generation, silent_s)
+
+    def domain(self, name):
+        return self.head.catalogue.domains[name]
+
+
+async def drained(fleet, name="a", expected=1, **options):
+    outcome = await fleet.moves[0].drain(name, expected, f"drain-{name}", **options)
+    assert isinstance(outcome, ChangeAccepted), outcome
+    return outcome.generation
+
+
+async def run_for(fleet, seconds, hosts=(0, 1)):
+    with anyio.move_on_after(seconds):
+        async with anyio.create_task_group() as tasks:
+            for host in hosts:
+                tasks.start_soon(fleet.moves[host].run)
+
+
+@pytest.mark.parametrize(
+    ("rows", "expected"),
+    [
+        # Guards against a drain that leaves too few slots, no replica, or whose load is not known at all.
+        ({"a": (2, 1, 1), "b": (2, 0.5, 1), "c": (2, 0.5, 1)}, []),
+        ({"a": (2, 3, 1), "b": (2, 1, 1), "c": (2, 1, 1)}, [Shortage("desk", "s0", 5, 4, 2)]),
+        ({"a": (2, 0, 1), "b": (2, 0, 0), "c": (2, 0, 0)}, [Shortage("desk", "s0", 0, 4, 0)]),
+        ({}, [Shortage("desk", "s0", 0, 0, 0)]),
+    ],
+)
+def test_the_capacity_check_counts_what_remains(rows, expected):
+    loads = [ShardLoad("desk", "s0", name, *figures) for name, figures in rows.items()]
+    assert shortages(catalogue(), loads, {"a"}) == expected
+
+
+async def test_a_drain_is_done_only_when_in_force_and_idle():
+    """Guards against reporting a drain done while a host still sends or work is in flight."""
+    fleet = Fleet()
+    fleet.set_host("h3", generation=2)
+    fleet.load.flying["a"] = {"h1": 2}
+    generation = await drained(fleet)
+    await run_for(fleet, 10)
+    assert fleet.domain("a").state is DomainState.DRAINING
+    fleet.set_host("h3", generation=generation)
+    await run_for(fleet, 10)
+    assert fleet.moves[1].move("a", generation).state is MoveState.IN_PROGRESS
+    fleet.load.flying["a"] = {}
+    await run_for(fleet, 10)
+    assert fleet.domain("a").state is DomainState.DRAINED
+    assert fleet.moves[1].move("a", generation).state is MoveState.DONE
+    assert len(fleet.head.entries) == 2
+
+
+@pytest.mark.parametrize(("silent_s", "ends"), [(2.9, False), (3.0, True)])
+async def test_a_host_silent_in_the_middle_counts_as_confirmed_after_3_s(silent_s, ends):
+    """Guards against a dead host that blocks a drain, and against counting a live one as dead."""
+    fleet = Fleet()
+    generation = await drained(fleet)
+    fleet.set_host("h3", generation=2, silent_s=silent_s)
+    fleet.load.flying["a"] = {"h3": 4}
+    await run_for(fleet, 10)
+    assert (fleet.moves[0].move("a", generation).state is MoveState.DONE) is ends
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": 0, "busy": 0, "replicas": 0},
+        {"slots": 2, "busy": 9, "replicas": 1},
+    ],
+)
+async def test_capacity_or_coverage_breaking_in_the_middle_rolls_back(change):
+    """Guards against going on with a drain that the rest can no longer carry."""
+    fleet = Fleet()
+    fleet.set_host("h3", generation=2)
+    generation = await drained(fleet)
+    await run_for(fleet, 3)
+    for name in "bc":
+        fleet.load.set(name, **change)
+    await run_for(fleet, 0.7)
+    assert fleet.domain("a").state is DomainState.DRAINING, "one late heartbeat must not end a drain"
+    await run_for(fleet, 8)
+    progress = fleet.moves[1].move("a", generation)
+    assert (progress.state, fleet.domain("a").state) == (MoveState.ROLLED_BACK, DomainState.ACTIVE)
+    assert "desk shard s0" in progress.reason
+
+
+async def test_a_forced_drain_is_not_rolled_back():
+    fleet = Fleet(FakeLoad(busy=3))
+    refused = await fleet.moves[0].drain("a", 1, "op")
+    assert refused == CapacityShort((Shortage("desk", "s0", 9, 4, 2),))
+    assert fleet.head.entries == []
+    await drained(fleet, force=True)
+    await run_for(fleet, 10)
+    assert fleet.domain("a").state is DomainState.DRAINED
+
+
+async def test_racing_drains_of_two_domains_do_not_take_out_both():
+    """Guards against two checks that each count on the domain which the other takes out."""
+    fleet = Fleet(FakeLoad(busy=1))
+    outcomes = {}
+
+    async def drain(host, name, expected):
+        outcomes[name] = await fleet.moves[host].drain(name, expected, f"op-{name}")
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(drain, 0, "a", 1)
+        tasks.start_soon(drain, 1, "b", 2)
+    accepted = [outcome for outcome in outcomes.values() if isinstance(outcome, ChangeAccepted)]
+    refused = [outcome for outcome in outcomes.values() if isinstance(outcome, CapacityShort)]
+    assert len(accepted) == len(refused) == 1
+    assert refused[0].shortages == (Shortage("desk", "s0", 3, 2, 1),)
+
+
+async def test_a_check_on_a_lagging_host_is_not_accepted():
+    """Guards against a check that counts on a domain which is drained already, unknown to this host."""
+    fleet = Fleet(FakeLoad(busy=1))
+    fleet.logs[1].frozen = True
+    fleet.logs[1].catalogue  # noqa: B018
+    await drained(fleet)
+    outcome = await fleet.moves[1].drain("b", 2, "op-b")
+    assert isinstance(outcome, ChangeInvalid)
+    assert outcome.field == "relies_on"
+    assert fleet.domain("b").state is DomainState.ACTIVE
+
+
+async def test_two_drains_that_became_too_much_give_back_the_later_first():
+    fleet = Fleet()
+    fleet.set_host("h3", generation=2)
+    first = await drained(fleet)
+    second = await drained(fleet, "b", 2)
+    fleet.load.set("a", busy=0.5)
+    fleet.load.set("c", busy=2.5)
+    await run_for(fleet, 12)
+    assert fleet.moves[0].move("b", second).state is MoveState.ROLLED_BACK
+    assert fleet.moves[0].move("a", first).state is MoveState.IN_PROGRESS
+
+
+@pytest.mark.parametrize("host", [0, 1])
+async def test_a_drain_completes_on_any_host_that_is_left(host):
+    """Guards against a drain whose watcher has vanished and that then never ends."""
+    fleet = Fleet()
+    generation = await drained(fleet)
+    fleet.set_host("h2" if host == 0 else "h1", generation=2, silent_s=60)
+    await run_for(fleet, 5, hosts=(host,))
+    assert fleet.moves[host].move("a", generation).state is MoveState.DONE
+
+
+async def test_a_store_outage_after_acceptance_delays_the_end_only():
+    """Guards against a drain that is forgotten, or told as done, because its end could not be recorded."""
+    fleet = Fleet()
+    generation = await drained(fleet)
+    fleet.head.fault = "down"
+    await run_for(fleet, 20)
+    assert fleet.moves[0].move("a", generation).state is MoveState.IN_PROGRESS
+    assert not fleet.head.catalogue.takes_work("a")
+    fleet.head.fault = None
+    await run_for(fleet, 20)
+    assert fleet.moves[0].move("a", generation).state is MoveState.DONE
+
+
+async def test_a_lost_answer_to_the_end_of_a_drain_is_settled():
+    fleet = Fleet()
+    generation = await drained(fleet)
+    fleet.head.fault = "lost"
+    await run_for(fleet, 10)
+    assert fleet.moves[0].move("a", generation).state is MoveState.DONE
+    assert len(fleet.head.entries) == 2
+
+
+async def test_an_outage_a_silent_host_and_a_shortage_at_once_roll_back():
+    """Guards against an end that is done after the outage although capacity broke during it."""
+    fleet = Fleet()
+    fleet.set_host("h3", generation=2)
+    generation = await drained(fleet)
+    fleet.head.fault = "down"
+    fleet.set_host("h3", generation=2, silent_s=10)
+    for name in "bc":
+        fleet.load.set(name, replicas=0)
+    await run_for(fleet, 20)
+    fleet.head.fault = None
+    await run_for(fleet, 20)
+    assert fleet.moves[0].move("a", generation).state is MoveState.ROLLED_BACK
+
+
+async def test_a_restore_during_a_drain_wins_and_the_drain_says_so():
+    fleet = Fleet()
+    fleet.set_host("h3", generation=2)
+    generation = await drained(fleet)
+    restored = await fleet.moves[1].restore("a", generation, "op-restore", "changed my mind")
+    await run_for(fleet, 10)
+    drain = fleet.moves[0].move("a", generation)
+    assert (drain.state, drain.reason) == (
+        MoveState.SUPERSEDED,
+        f"active since generation {restored.generation}: changed my mind",
+    )
+    assert fleet.moves[0].move("a", restored.generation).state is MoveState.IN_PROGRESS
+    fleet.set_host("h3", generation=restored.generation)
+    assert fleet.moves[0].move("a", restored.generation).state is MoveState.DONE
+
+
+async def test_a_repeated_drain_gets_its_first_result():
+    """Guards against refusing, for capacity or as a conflict, a drain that was accepted when its answer was lost."""
+    fleet = Fleet()
+    fleet.logs[1].frozen = True
+    fleet.logs[1].catalogue  # noqa: B018
+    generation = await drained(fleet)
+    assert await fleet.moves[0].drain("a", 1, "drain-a") == ChangeAccepted(generation, True, False)
+    for name in "bc":
+        fleet.load.set(name, replicas=0)
+    assert await fleet.moves[1].drain("a", 1, "drain-a") == ChangeAccepted(generation, True, False)
+
+
+async def test_what_cannot_move_is_told():
+    fleet = Fleet()
+    moves = fleet.moves[0]
+    assert isinstance(await moves.drain("x", 1, "op-1"), ChangeInvalid)
+    assert isinstance(await moves.restore("a", 1, "op-2"), ChangeInvalid)
+    unknown = await moves.drain("a", 99, "op-3")
+    assert (unknown.field, type(unknown)) == ("expected_generation", ChangeInvalid)
+    assert isinstance(await moves.drain("a", 0, "op-4"), ChangeConflict)
+    fleet.head.fault = "down"
+    assert isinstance(await moves.drain("a", 1, "op-5"), ChangeNotAccepted)
+    assert fleet.head.entries == []
+
+
+async def test_a_watch_ends_with_the_move():
+    fleet = Fleet()
+    generation = await drained(fleet)
+    seen = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fleet.moves[1].run)
+        async for progress in fleet.moves[0].watch("a", generation):
+            seen.append(progress.state)
+        tasks.cancel_scope.cancel()
+    assert (seen[0], seen[-1]) == (MoveState.IN_PROGRESS, MoveState.DONE)
