--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -16,6 +16,11 @@
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
 
+    # 850 to 899: rollouts
+    ROLLOUT_CUT = 851
+    ROLLOUT_MOVED = 852
+    DECIDER_ELECTED = 853
+
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its number and fields."""
--- a/hawthornbridge/model.py
+++ b/hawthornbridge/model.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from enum import Enum
 from functools import cached_property
+from itertools import pairwise
 from typing import Annotated, TypeAlias, TypeVar
 
 import msgspec
@@ -56,6 +57,14 @@
 Milliseconds: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 
 
+# The largest share of traffic that a version may have before it is judged.
+UNJUDGED_SHARE = 0.05
+
+# The largest share at which 30 bad requests still stand out against the old version's traffic of the same time; a
+# rollout that is judged good there goes on to all traffic.
+COMPARED_SHARE = 0.4
+
+
 class ChangeRejectedError(Exception):
     """Report a change that does not fit the catalogue, naming the field at fault."""
 
@@ -182,12 +191,18 @@
     step: int = 0
     state: RolloutState = RolloutState.RUNNING
     reason: str = ""
+    decider: str = ""
 
     @property
     def id(self) -> str:
         """Return the identifier under which hosts join evidence on this rollout."""
         return f"{self.service}:{self.new}:{self.started_ms}"
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the rollout is neither done nor rolled back."""
+        return self.state in (RolloutState.RUNNING, RolloutState.HELD)
+
     @property
     def share(self) -> float:
         """Return the share of traffic that the new version gets."""
@@ -391,7 +406,12 @@
         if service is None:
             raise ChangeRejectedError("rollout.service", "no such service")
         self._require("rollout.new", f"{rollout.service}:{rollout.new}" in self.versions, "no such version")
-        self._require("rollout.step", 0 <= rollout.step < len(rollout.steps), "no such step")
+        steps = rollout.steps
+        self._require("rollout.step", 0 <= rollout.step < len(steps), "no such step")
+        ascending = all(low < high for low, high in pairwise(steps))
+        self._require("rollout.steps", ascending, "must ascend")
+        self._require("rollout.steps", 0 < steps[0] <= UNJUDGED_SHARE, f"must begin with at most {UNJUDGED_SHARE}")
+        self._require("rollout.steps", steps[-1] <= COMPARED_SHARE, f"must end with at most {COMPARED_SHARE}")
         services = self.services
         if rollout.state is RolloutState.DONE:
             done = msgspec.structs.replace(service, version=rollout.new)
--- /dev/null
+++ b/hawthornbridge/rollouts.py
@@ -0,0 +1,180 @@
+"""Rollouts on one host: the share in force, the joined evidence, and the cut that needs no agreement."""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from hawthornbridge.events import Event, emit
+from hawthornbridge.evidence import EvidenceBoard, RolloutEvidence, Sample, Tally, TallyKey
+from hawthornbridge.ids import HostId, Incarnation, RouteName, ServiceName, VersionName
+from hawthornbridge.model import Catalogue, Rollout
+from hawthornbridge.sequential import Comparison, SequentialTest
+
+__all__ = ["Rollouts", "Verdict"]
+
+EVALUATION_INTERVAL_S = 0.5
+
+# The probability that a rollout of a version that is no worse than tolerated is cut by any host.
+FALSE_ALARM_RATE = 0.005
+SIGNALS = 2
+
+# A host that has just started may not know of a cut yet; it sends nothing to the new version for this long.
+START_GRACE_S = 2.0
+
+# Requests of a step that the new version must have served, over all hosts and routes, before it counts as judged.
+JUDGED_REQUESTS = 100
+
+# Evidence of at least this e-value holds a rollout at its step: too little to cut, too much to go on.
+SUSPICION = math.log(10.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Say what the joined evidence on a rollout's present step allows."""
+
+    judged: bool
+    suspicious: bool
+    cut: str | None
+
+
+@dataclass
+class _Judgement:
+    """Hold the tests of one rollout and the totals that they have seen."""
+
+    alpha: float
+    tests: dict[tuple[RouteName, str], SequentialTest] = field(default_factory=dict)
+    seen: dict[TallyKey, Tally] = field(default_factory=dict)
+
+    def update(self, totals: dict[TallyKey, Tally]) -> None:
+        """Feed the growth since the last call to the tests, route by route."""
+        growth = {key: tally - self.seen.get(key, Tally()) for key, tally in totals.items()}
+        self.seen = totals
+        for route in {key.route for key in growth}:
+            new = sum((grown for key, grown in growth.items() if key.route == route and key.is_new), Tally())
+            old = sum((grown for key, grown in growth.items() if key.route == route and not key.is_new), Tally())
+            failed = Comparison(new.failed, new.requests, old.failed, old.requests)
+            slow = Comparison(new.slow, new.requests, old.slow, old.requests)
+            self._test(route, "failing").update(failed)
+            self._test(route, "slow").update(slow)
+
+    def worst(self) -> tuple[float, str]:
+        """Return the strongest evidence and what it says."""
+        found = [(test.log_evidence, f"{signal} on route {route}") for (route, signal), test in self.tests.items()]
+        return max(found, default=(-math.inf, ""))
+
+    def rejected(self) -> str | None:
+        """Return what the new version does worse, or None."""
+        return next(
+            (f"{signal} on route {route}" for (route, signal), test in self.tests.items() if test.rejected), None
+        )
+
+    def _test(self, route: RouteName, signal: str) -> SequentialTest:
+        return self.tests.setdefault((route, signal), SequentialTest(self.alpha))
+
+
+class Rollouts:
+    """Count, join and judge the evidence on every running rollout, and cut a bad version at once."""
+
+    def __init__(
+        self,
+        catalogue: Callable[[], Catalogue],
+        publish: Callable[[RolloutEvidence], None],
+        host: HostId,
+        incarnation: Incarnation,
+        seats: int,
+    ) -> None:
+        self._catalogue = catalogue
+        self._publish = publish
+        self._seats = seats
+        self._board = EvidenceBoard(host, incarnation)
+        self._judgements: dict[str, _Judgement] = {}
+        self._cuts: dict[str, str] = {}
+        self._started_s = anyio.current_time()
+
+    def share_of(self, service: ServiceName) -> float:
+        """Return the share of a service's queries that the new version gets on this host now."""
+        rollout = self._catalogue().rollouts.get(service)
+        if rollout is None or not rollout.is_open:
+            return 0.0
+        if rollout.id in self._cuts or anyio.current_time() - self._started_s < START_GRACE_S:
+            return 0.0
+        return rollout.share
+
+    def record(
+        self, service: ServiceName, route: RouteName, version: VersionName, latency_s: float, failed: bool
+    ) -> None:
+        """Count how one query went on its version."""
+        rollout = self._catalogue().rollouts.get(service)
+        if rollout is None or version not in (rollout.old, rollout.new) or not rollout.is_open:
+            return
+        self._board.record(rollout, Sample(route, version == rollout.new, latency_s, failed))
+
+    def on_evidence(self, evidence: RolloutEvidence) -> None:
+        """Join another host's evidence, and cut what it has cut."""
+        self._board.merge(evidence)
+        if evidence.cut is not None:
+            self._cut(evidence.rollout, evidence.cut)
+
+    def cut_by_operator(self, rollout: Rollout, reason: str) -> None:
+        """Cut a rollout at an operator's word, before the configuration says so."""
+        self._cut(rollout.id, reason)
+
+    def verdict(self, rollout: Rollout) -> Verdict:
+        """Return what the evidence on the rollout's present step allows."""
+        judgement = self._judgements.get(rollout.id)
+        evidence, _ = judgement.worst() if judgement else (-math.inf, "")
+        return Verdict(
+            judged=self._is_judged(rollout), suspicious=evidence >= SUSPICION, cut=self._cuts.get(rollout.id)
+        )
+
+    async def run(self) -> None:
+        """Judge and publish until cancelled."""
+        while True:
+            self.evaluate()
+            await anyio.sleep(EVALUATION_INTERVAL_S)
+
+    def evaluate(self) -> None:
+        """Judge every open rollout once, cut the bad ones and publish this host's evidence."""
+        rollouts = [rollout for rollout in self._catalogue().rollouts.values() if rollout.is_open]
+        open_ids = {rollout.id for rollout in rollouts}
+        self._board.retain(open_ids)
+        self._judgements = {key: value for key, value in self._judgements.items() if key in open_ids}
+        self._cuts = {key: value for key, value in self._cuts.items() if key in open_ids}
+        for rollout in rollouts:
+            self._judge(rollout)
+            self._publish(self._board.own(rollout.id, self._cuts.get(rollout.id)))
+
+    def _judge(self, rollout: Rollout) -> None:
+        service = self._catalogue().services[rollout.service]
+        # The rate is shared by every test of every host, since any of them may cut.
+        alpha = FALSE_ALARM_RATE / (len(service.routes) * SIGNALS * self._seats)
+        judgement = self._judgements.setdefault(rollout.id, _Judgement(alpha))
+        judgement.update(self._board.totals(rollout.id))
+        reason = judgement.rejected()
+        if reason is not None:
+            self._cut(rollout.id, reason)
+
+    def _cut(self, rollout_id: str, reason: str) -> None:
+        if rollout_id in self._cuts:
+            return
+        self._cuts[rollout_id] = reason
+        emit(Event.ROLLOUT_CUT, rollout=rollout_id, reason=reason)
+
+    def _is_judged(self, rollout: Rollout) -> bool:
+        totals = self._board.totals(rollout.id)
+        step = {key: tally.requests for key, tally in totals.items() if key.step == rollout.step}
+        new = sum(count for key, count in step.items() if key.is_new)
+        if new < JUDGED_REQUESTS:
+            return False
+        return all(
+            step.get(TallyKey(rollout.step, key.route, True), 0) >= _expected(rollout.share, count)
+            for key, count in step.items()
+            if not key.is_new
+        )
+
+
+def _expected(share: float, old_requests: int) -> int:
+    # A rare route need not reach the full number, but half of what the share should have brought it.
+    return min(JUDGED_REQUESTS, int(0.5 * share / (1 - share) * old_requests))
--- /dev/null
+++ b/hawthornbridge/sequential.py
@@ -0,0 +1,94 @@
+"""Sequential test of whether a new version does worse than the old one.
+
+In each interval both versions serve the same mix at the same time. Given how many requests were bad in total, the
+number that fell to the new version follows Fisher's noncentral hypergeometric distribution, whatever the common rate
+is. The likelihood ratio of a worse odds ratio against the tolerated one is an e-value, and products of e-values over
+intervals form an e-process: by Ville's inequality it passes 1 / alpha with probability at most alpha if the new
+version is no worse than tolerated (Ville 1939; Ramdas, Grünwald, Vovk and Shafer, "Game-theoretic statistics and safe
+anytime-valid inference", 2023).
+"""
+
+import math
+from dataclasses import dataclass
+
+__all__ = ["Comparison", "SequentialTest"]
+
+# The odds of a bad request may be this much higher before the new version counts as worse.
+TOLERATED_ODDS = 1.5
+
+# Odds ratios that the test bets on; the evidence is their mean, so that mild and gross faults both show quickly.
+ALTERNATIVE_ODDS = (4.0, 16.0, 128.0)
+
+# A version may turn bad later. A fresh e-process starts after every so many intervals, with weights that sum to 1, so
+# that earlier good behaviour does not hide a later fault.
+INTERVALS_PER_START = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """Count the requests of both versions in one interval, and how many of each were bad."""
+
+    new_bad: int
+    new_total: int
+    old_bad: int
+    old_total: int
+
+
+class SequentialTest:
+    """Accumulate evidence that the new version is worse; alpha bounds the false-alarm rate over the whole run."""
+
+    def __init__(self, alpha: float) -> None:
+        self._threshold = math.log(1 / alpha)
+        self._logs = [-math.inf] * len(ALTERNATIVE_ODDS)
+        self._intervals = 0
+
+    @property
+    def log_evidence(self) -> float:
+        """Return the logarithm of the e-process."""
+        return _log_sum(self._logs) - math.log(len(self._logs))
+
+    @property
+    def rejected(self) -> bool:
+        """Return whether the evidence has passed the threshold."""
+        return self.log_evidence >= self._threshold
+
+    def update(self, seen: Comparison) -> None:
+        """Add the evidence of one interval; an interval that says nothing is skipped."""
+        bad = seen.new_bad + seen.old_bad
+        if not bad or not seen.new_total or not seen.old_total:
+            return
+        fresh = self._log_start_weight()
+        self._intervals += 1
+        null = _log_normaliser(seen, bad, TOLERATED_ODDS)
+        for index, odds in enumerate(ALTERNATIVE_ODDS):
+            gain = seen.new_bad * math.log(odds / TOLERATED_ODDS) + null - _log_normaliser(seen, bad, odds)
+            self._logs[index] = _log_sum([self._logs[index], fresh]) + gain
+
+    def _log_start_weight(self) -> float:
+        if self._intervals % INTERVALS_PER_START:
+            return -math.inf
+        start = self._intervals // INTERVALS_PER_START + 1
+        return -math.log(start * (start + 1))
+
+
+def _log_normaliser(seen: Comparison, bad: int, odds: float) -> float:
+    low = max(0, bad - seen.old_total)
+    high = min(bad, seen.new_total)
+    log_odds = math.log(odds)
+    return _log_sum(
+        [
+            _log_choose(seen.new_total, count) + _log_choose(seen.old_total, bad - count) + count * log_odds
+            for count in range(low, high + 1)
+        ]
+    )
+
+
+def _log_choose(total: int, count: int) -> float:
+    return math.lgamma(total + 1) - math.lgamma(count + 1) - math.lgamma(total - count + 1)
+
+
+def _log_sum(logs: list[float]) -> float:
+    top = max(logs)
+    if top == -math.inf:
+        return top
+    return top + math.log(sum(math.exp(value - top) for value in logs))
