--- /dev/null
+++ b/standins/memorystore.py
@@ -0,0 +1,276 @@
+"""An in-memory store with scripted faults, for tests on a virtual clock."""
+
+import heapq
+import itertools
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TypeVar
+
+import anyio
+
+from hawthornbridge.store import (
+    ABSENT,
+    Ambiguous,
+    Applied,
+    Conflict,
+    Found,
+    Key,
+    LeaseGranted,
+    LeaseId,
+    LeaseLost,
+    LeaseOutcome,
+    Listed,
+    ListOutcome,
+    Missing,
+    ReadOutcome,
+    Revision,
+    Unavailable,
+    WatchOutcome,
+    WatchTimeout,
+    WriteOutcome,
+)
+
+__all__ = ["Fault", "MemoryStore", "StoreFaults", "StoreState"]
+
+VALUE_LIMIT_BYTES = 1_000_000
+
+OutcomeT = TypeVar("OutcomeT")
+
+
+class Fault(Enum):
+    """Name what happens to one call."""
+
+    NONE = "none"
+    UNAVAILABLE = "unavailable"
+    LOST_BEFORE = "lost_before"
+    LOST_AFTER = "lost_after"
+
+
+@dataclass
+class StoreFaults:
+    """Script how the store misbehaves towards one client; every field may be changed while it runs.
+
+    A call takes its fault from next_calls, and from choose once that is empty.
+    """
+
+    unavailable: bool = False
+    delay_s: float = 0.0
+    answer_delay_s: float = 0.0
+    watch_lag_s: float = 0.0
+    next_calls: deque[Fault] = field(default_factory=deque)
+    choose: Callable[[str], Fault] | None = None
+
+    def next(self, kind: str) -> Fault:
+        """Return the fault of the next call of this kind."""
+        if self.unavailable:
+            return Fault.UNAVAILABLE
+        if self.next_calls:
+            return self.next_calls.popleft()
+        return self.choose(kind) if self.choose is not None else Fault.NONE
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    value: bytes
+    revision: Revision
+    written_s: float
+    lease: LeaseId | None
+
+
+class StoreState:
+    """Hold the keys and leases that all clients share, and count the calls by kind."""
+
+    def __init__(self) -> None:
+        self.calls: Counter[str] = Counter()
+        self._held: dict[Key, _Held] = {}
+        self._leases: dict[LeaseId, float] = {}
+        self._pending: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count(1)
+        self._revision = 0
+        self._changed = anyio.Event()
+
+    @property
+    def keys(self) -> list[Key]:
+        """Return the keys that hold a value, in order."""
+        self.settle()
+        return sorted(self._held)
+
+    def lapse(self, lease: LeaseId) -> None:
+        """End a lease now, as if its time were over."""
+        self._leases[lease] = -1.0
+        self.settle()
+
+    def settle(self) -> None:
+        """Apply the writes that have arrived and end the leases that are over."""
+        now_s = anyio.current_time()
+        while self._pending and self._pending[0][0] <= now_s:
+            heapq.heappop(self._pending)[2]()
+        for lease in [lease for lease, expires_s in self._leases.items() if expires_s <= now_s]:
+            self.end(lease)
+
+    def after(self, delay_s: float, effect: Callable[[], None]) -> None:
+        """Apply an effect later, even if the client that sent it has given up by then."""
+        heapq.heappush(self._pending, (anyio.current_time() + delay_s, next(self._numbers), effect))
+
+    def read(self, key: Key) -> Found | Missing:
+        """Return what a key holds."""
+        held = self._held.get(key)
+        return Missing(key) if held is None else Found(key, held.value, held.revision)
+
+    def below(self, prefix: Key) -> Listed:
+        """Return the values below a prefix, in order of their keys."""
+        found = sorted((key, held) for key, held in self._held.items() if key.startswith(prefix))
+        return Listed(tuple(Found(key, held.value, held.revision) for key, held in found))
+
+    def age_s(self, key: Key) -> float:
+        """Return the time since a key's last write."""
+        held = self._held.get(key)
+        return float("inf") if held is None else anyio.current_time() - held.written_s
+
+    def write(self, key: Key, value: bytes | None, expected: Revision, lease: LeaseId | None) -> Applied | Conflict:
+        """Write a key, or delete it if there is no value, if its revision is the expected one."""
+        current = self.read(key)
+        revision = current.revision if isinstance(current, Found) else ABSENT
+        if revision != expected or (lease is not None and lease not in self._leases):
+            return Conflict(current)
+        self._revision += 1
+        if value is None:
+            self._held.pop(key, None)
+        else:
+            self._held[key] = _Held(value, Revision(self._revision), anyio.current_time(), lease)
+        self._notify()
+        return Applied(Revision(self._revision))
+
+    def grant(self, ttl_s: float) -> LeaseId:
+        """Open a lease."""
+        lease = LeaseId(f"lease-{next(self._numbers)}")
+        self._leases[lease] = anyio.current_time() + ttl_s
+        return lease
+
+    def renew(self, lease: LeaseId, ttl_s: float) -> bool:
+        """Prolong a lease; return False if it is over."""
+        if lease not in self._leases:
+            return False
+        self._leases[lease] = anyio.current_time() + ttl_s
+        return True
+
+    def end(self, lease: LeaseId) -> bool:
+        """End a lease and remove the keys written under it; return False if it was over already."""
+        if self._leases.pop(lease, None) is None:
+            return False
+        for key in [key for key, held in self._held.items() if held.lease == lease]:
+            del self._held[key]
+            self._revision += 1
+        self._notify()
+        return True
+
+    async def wait(self, until_s: float) -> None:
+        """Wait for a change, for the next effect that is due, or until this time."""
+        due = [until_s, *(entry[0] for entry in self._pending[:1]), *self._leases.values()]
+        changed = self._changed
+        with anyio.move_on_at(min(due)):
+            await changed.wait()
+        self.settle()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+class MemoryStore:
+    """Call a store state as one client, with faults of its own; clients that share a state see the same keys."""
+
+    def __init__(self, state: StoreState | None = None, faults: StoreFaults | None = None) -> None:
+        self.state = state if state is not None else StoreState()
+        self.faults = faults if faults is not None else StoreFaults()
+
+    async def get(self, key: Key) -> ReadOutcome:
+        """Read one key."""
+        if not await self._reach("get"):
+            return Unavailable("scripted")
+        outcome = self.state.read(key)
+        await anyio.sleep(self.faults.answer_delay_s)
+        return outcome
+
+    async def list(self, prefix: Key) -> ListOutcome:
+        """Read all keys below a prefix."""
+        if not await self._reach("list"):
+            return Unavailable("scripted")
+        outcome = self.state.below(prefix)
+        await anyio.sleep(self.faults.answer_delay_s)
+        return outcome
+
+    async def compare_and_swap(
+        self, key: Key, value: bytes, expected: Revision, lease: LeaseId | None = None
+    ) -> WriteOutcome:
+        """Write a key if its revision is the expected one; with a lease, the value goes when the lease lapses."""
+        if len(value) > VALUE_LIMIT_BYTES:
+            self.state.calls["compare_and_swap"] += 1
+            return Unavailable(f"the value has more than {VALUE_LIMIT_BYTES} bytes")
+        return await self._change("compare_and_swap", lambda: self.state.write(key, value, expected, lease))
+
+    async def delete(self, key: Key, expected: Revision) -> WriteOutcome:
+        """Delete a key if its revision is the expected one."""
+        return await self._change("delete", lambda: self.state.write(key, None, expected, None))
+
+    async def watch(self, key: Key, after: Revision, wait_s: float) -> WatchOutcome:
+        """Wait until a key's revision is higher than this one, or until a key that had a revision has no value."""
+        deadline_s = anyio.current_time() + wait_s
+        if not await self._reach("watch"):
+            return Unavailable("scripted")
+        while True:
+            current = self.state.read(key)
+            changed = current.revision > after if isinstance(current, Found) else after != ABSENT
+            lag_s = self.faults.watch_lag_s - self.state.age_s(key) if isinstance(current, Found) else 0.0
+            if changed and lag_s <= 0:
+                return current
+            if anyio.current_time() >= deadline_s:
+                return WatchTimeout()
+            await self.state.wait(min(deadline_s, anyio.current_time() + lag_s) if changed else deadline_s)
+            if self.faults.unavailable:
+                return Unavailable("scripted")
+
+    async def grant_lease(self, ttl_s: float) -> LeaseOutcome:
+        """Open a lease."""
+        sent_s = anyio.current_time()
+        return await self._change("grant_lease", lambda: LeaseGranted(self.state.grant(ttl_s), sent_s + ttl_s))
+
+    async def renew_lease(self, lease: LeaseId, ttl_s: float) -> LeaseOutcome:
+        """Prolong a lease."""
+        sent_s = anyio.current_time()
+
+        def renew() -> LeaseGranted | LeaseLost:
+            return LeaseGranted(lease, sent_s + ttl_s) if self.state.renew(lease, ttl_s) else LeaseLost(lease)
+
+        return await self._change("renew_lease", renew)
+
+    async def release_lease(self, lease: LeaseId) -> LeaseOutcome | None:
+        """Give a lease up, and with it the keys written under it."""
+
+        def release() -> LeaseLost | None:
+            return None if self.state.end(lease) else LeaseLost(lease)
+
+        return await self._change("release_lease", release)
+
+    async def _reach(self, kind: str) -> bool:
+        self.state.calls[kind] += 1
+        fault = self.faults.next(kind)
+        await anyio.sleep(self.faults.delay_s)
+        self.state.settle()
+        return fault is Fault.NONE
+
+    async def _change(self, kind: str, effect: Callable[[], OutcomeT]) -> OutcomeT | Unavailable | Ambiguous:
+        self.state.calls[kind] += 1
+        fault = self.faults.next(kind)
+        if fault is Fault.UNAVAILABLE:
+            await anyio.sleep(self.faults.delay_s)
+            return Unavailable("scripted")
+        outcomes: list[OutcomeT] = []
+        if fault is not Fault.LOST_BEFORE:
+            self.state.after(self.faults.delay_s, lambda: outcomes.append(effect()))
+        await anyio.sleep(self.faults.delay_s)
+        self.state.settle()
+        await anyio.sleep(self.faults.answer_delay_s)
+        return outcomes[0] if fault is Fault.NONE else Ambiguous("scripted")
