--- a/hawthornbridge/evidence.py
+++ b/hawthornbridge/evidence.py
@@ -101,7 +101,7 @@
 
     def record(self, rollout: Rollout, sample: Sample) -> None:
         """Count one request of this host."""
-        threshold = self._thresholds.setdefault((rollout.service, sample.route), _SlowThreshold())
+        threshold = self._threshold(rollout.service, sample.route)
         slow = threshold.limit_s is not None and sample.latency_s > threshold.limit_s
         if not sample.is_new:
             threshold.add(sample.latency_s)
@@ -137,3 +137,9 @@
         """Forget every rollout that is not named."""
         kept = set(rollout_ids)
         self._tallies = {rollout_id: rows for rollout_id, rows in self._tallies.items() if rollout_id in kept}
+
+    def _threshold(self, service: ServiceName, route: RouteName) -> _SlowThreshold:
+        threshold = self._thresholds.get((service, route))
+        if threshold is None:
+            threshold = self._thresholds[service, route] = _SlowThreshold()
+        return threshold
--- a/hawthornbridge/sequential.py
+++ b/hawthornbridge/sequential.py
@@ -59,9 +59,10 @@
             return
         fresh = self._log_start_weight()
         self._intervals += 1
-        null = _log_normaliser(seen, bad, TOLERATED_ODDS)
+        ways = _log_ways(seen, bad)
+        null = _log_normaliser(ways, TOLERATED_ODDS)
         for index, odds in enumerate(ALTERNATIVE_ODDS):
-            gain = seen.new_bad * math.log(odds / TOLERATED_ODDS) + null - _log_normaliser(seen, bad, odds)
+            gain = seen.new_bad * math.log(odds / TOLERATED_ODDS) + null - _log_normaliser(ways, odds)
             self._logs[index] = _log_sum([self._logs[index], fresh]) + gain
 
     def _log_start_weight(self) -> float:
@@ -71,16 +72,18 @@
         return -math.log(start * (start + 1))
 
 
-def _log_normaliser(seen: Comparison, bad: int, odds: float) -> float:
+def _log_ways(seen: Comparison, bad: int) -> dict[int, float]:
     low = max(0, bad - seen.old_total)
     high = min(bad, seen.new_total)
+    return {
+        count: _log_choose(seen.new_total, count) + _log_choose(seen.old_total, bad - count)
+        for count in range(low, high + 1)
+    }
+
+
+def _log_normaliser(ways: dict[int, float], odds: float) -> float:
     log_odds = math.log(odds)
-    return _log_sum(
-        [
-            _log_choose(seen.new_total, count) + _log_choose(seen.old_total, bad - count) + count * log_odds
-            for count in range(low, high + 1)
-        ]
-    )
+    return _log_sum([log_ways + count * log_odds for count, log_ways in ways.items()])
 
 
 def _log_choose(total: int, count: int) -> float:
