--- /dev/null
+++ b/measure/load.py
@@ -0,0 +1,132 @@
+"""An open-loop load on the callers' interface, and what came of it."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+import uuid_utils
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Callers", "Outcome"]
+
+HIGHEST_US = 60_000_000
+
+
+@dataclass
+class Outcome:
+    """Collect what callers saw."""
+
+    latency_us: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, HIGHEST_US, 3))
+    coverage: list[float] = field(default_factory=list)
+    refusals: Counter[str] = field(default_factory=Counter)
+    snapshots: Counter[int] = field(default_factory=Counter)
+    hedged: int = 0
+    cut: int = 0
+    sent: int = 0
+    crossed: int = 0
+
+    @property
+    def answered(self) -> int:
+        """Return the number of answers."""
+        return len(self.coverage)
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Return a percentile of the latency of answers."""
+        return float(self.latency_us.get_value_at_percentile(percentile)) / 1_000
+
+    def mean_coverage(self) -> float:
+        """Return the mean coverage of answers."""
+        return sum(self.coverage) / len(self.coverage) if self.coverage else 0.0
+
+    def complete_share(self) -> float:
+        """Return the share of answers that cover every shard."""
+        return sum(ratio == 1.0 for ratio in self.coverage) / len(self.coverage) if self.coverage else 0.0
+
+
+class Callers:
+    """Send requests at random times, asking hosts for addresses and keeping the answer as long as it is valid."""
+
+    def __init__(self, seeds: list[str], seed: int, caller_ms: float = 0.0) -> None:
+        self._seeds = list(seeds)
+        self._random = random.Random(seed)
+        self._caller_s = caller_ms / 1_000
+        self._pool = httpcore.AsyncConnectionPool(max_connections=512, max_keepalive_connections=512)
+        self._addresses: list[str] = []
+        self._valid_until_s = 0.0
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def searches(
+        self, service: str, routes: tuple[str, ...], per_s: float, duration_s: float, deadline_ms: int = 120
+    ) -> Outcome:
+        """Send searches for a while and return what came of them."""
+        outcome = Outcome()
+        async with anyio.create_task_group() as tasks:
+            started_s = anyio.current_time()
+            due_s = started_s
+            while (due_s := due_s + self._random.expovariate(per_s)) < started_s + duration_s:
+                await anyio.sleep_until(due_s)
+                body = {
+                    "service": service,
+                    "route": self._random.choice(routes),
+                    "query": "last",
+                    "request_id": str(uuid_utils.uuid7()),
+                    "deadline_ms": deadline_ms,
+                }
+                tasks.start_soon(self._search, body, outcome)
+        return outcome
+
+    async def post(self, path: str, body: dict[str, Any], timeout_s: float = 5.0) -> tuple[int, Any]:
+        """Send one request to an entry host; status 0 says that no answer came."""
+        address = await self.address()
+        content = msgspec.json.encode(body)
+        try:
+            with anyio.fail_after(timeout_s):
+                response = await self._pool.request("POST", f"http://{address}{path}", content=content)
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError):
+            self._valid_until_s = 0.0
+            return 0, None
+        return response.status, msgspec.json.decode(response.content)
+
+    async def address(self) -> str:
+        """Return an entry address, asking for new ones when the last answer has expired."""
+        if anyio.current_time() >= self._valid_until_s or not self._addresses:
+            await self._refresh()
+        return self._random.choice(self._addresses or self._seeds)
+
+    async def _refresh(self) -> None:
+        for seed in self._random.sample(self._seeds, len(self._seeds)):
+            try:
+                with anyio.fail_after(1):
+                    response = await self._pool.request("GET", f"http://{seed}/v1/addresses")
+            except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError):
+                continue
+            answer = msgspec.json.decode(response.content)
+            self._addresses = answer["addresses"]
+            self._valid_until_s = anyio.current_time() + answer["valid_ms"] / 1_000
+            return
+
+    async def _search(self, body: dict[str, Any], outcome: Outcome) -> None:
+        outcome.sent += 1
+        started_s = anyio.current_time()
+        status, answer = await self.post("/v1/search", body)
+        # The distance between caller and host is added, since loopback has none.
+        latency_s = anyio.current_time() - started_s + 2 * self._caller_s
+        if status == 0:
+            outcome.cut += 1
+            return
+        if status != 200:
+            outcome.refusals[answer["error"]["kind"] + "/" + answer["error"]["execution"]] += 1
+            return
+        coverage = answer["coverage"]
+        outcome.latency_us.record_value(max(1, min(HIGHEST_US, int(latency_s * 1e6))))
+        outcome.coverage.append(coverage["answered"] / coverage["total"])
+        outcome.snapshots[answer["snapshot"]] += 1
+        outcome.hedged += answer["hedged"]
+        outcome.crossed += answer["request_id"] != body["request_id"]
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -176,7 +176,7 @@
     assert counts[NEW] <= 0.05 * total + 3 * (0.05 * 0.95 * total) ** 0.5
 
 
-def test_thin_evidence_holds_the_rollout_and_takes_it_back_at_its_time():
+def test_thin_evidence_holds_the_rollout_and_rolls_it_back_at_its_time():
     fleet = simulate(1, Profile(), queries_per_s=8)
     assert fleet.rollout.state is RolloutState.ROLLED_BACK
     assert fleet.rollout.step == 0
