--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -26,6 +26,11 @@
     DRAIN_END_DELAYED = 814
     DRAIN_STALLED = 815
 
+    # 850 to 899: rollouts
+    ROLLOUT_CUT = 851
+    ROLLOUT_MOVED = 852
+    DECIDER_ELECTED = 853
+
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its number and fields."""
--- a/hawthornbridge/operationscodec.py
+++ b/hawthornbridge/operationscodec.py
@@ -334,7 +334,7 @@
 
 
 def _rollout_tree(wire: pb.Rollout) -> dict[str, Any]:
-    names = ("service", "old", "new", "steps", "finish_by_ms", "started_ms", "step", "reason")
+    names = ("service", "old", "new", "steps", "finish_by_ms", "started_ms", "step", "reason", "decider")
     return _tree(wire, *names) | {"state": _enum_value(wire.state)}
 
 
