--- a/tests/test_domains.py
+++ b/tests/test_domains.py
@@ -1,69 +1,16 @@
 import anyio
 import pytest
-from fakechangelog import FakeChangeLog, FakeHead
+from operatorfakes import FakeChangeLog, FakeHead, FakeLoad, catalogue
 
 from hawthornbridge.acceptance import ChangeAccepted, ChangeConflict, ChangeInvalid, ChangeNotAccepted
 from hawthornbridge.domains import CapacityShort, DomainMoves, MoveState, ShardLoad, Shortage, shortages
 from hawthornbridge.model import (
     DomainState,
-    FailureDomain,
-    PutFailureDomain,
-    PutService,
-    PutShardMap,
-    PutUpstream,
-    Service,
-    ShardMap,
-    Upstream,
-    fold,
 )
 
 pytestmark = pytest.mark.anyio
 
 
-def catalogue():
-    """One shard with an upstream in each of the domains a, b and c, whose generations are 1, 2 and 3."""
-    return fold(
-        [
-            *(PutFailureDomain(FailureDomain(name=name)) for name in "abc"),
-            PutService(Service(name="desk", routes=(), classes=(), version="v1")),
-            PutShardMap(ShardMap(id="m", service="desk", shards=("s0",))),
-            *(
-                PutUpstream(
-                    Upstream(
-                        id=f"u-{name}",
-                        service="desk",
-                        shard="s0",
-                        failure_domain=name,
-                        version="v1",
-                        address="127.0.0.1:1",
-                        slots=2,
-                        connections=25,
-                    )
-                )
-                for name in "abc"
-            ),
-        ]
-    )
-
-
-class FakeLoad:
-    def __init__(self, busy=0.5, slots=2):
-        self.rows = {name: ShardLoad("desk", "s0", name, slots, busy, 1) for name in "abc"}
-        self.flying = {}
-
-    def set(self, domain, slots=2, busy=0.5, replicas=1):
-        self.rows[domain] = ShardLoad("desk", "s0", domain, slots, busy, replicas)
-
-    def shard_loads(self):
-        return list(self.rows.values())
-
-    def in_flight(self, domain):
-        return self.flying.get(domain, {})
-
-    def host_loads(self):
-        return {}
-
-
 class Fleet:
     """Two hosts that share one head, each with its own domain moves."""
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,20 +1,15 @@
 import socket
-import threading
-import time
 from types import SimpleNamespace
 
-import anyio
 import httpcore
 import msgspec
 import pytest
-import uvicorn
 from connectrpc.code import Code
 from connectrpc.errors import ConnectError
-from fakechangelog import FakeChangeLog, FakeHead
+from operatorfakes import NOW_MS, TOKEN, OperatorHost, catalogue
 from protobuf import Oneof
-from test_domains import FakeLoad, catalogue
 
-from hawthornbridge import operations_pb as pb
+from hawthornbridge import domains, operations_pb as pb, operators
 from hawthornbridge.acceptance import (
     ChangeConflict,
     ChangeInvalid,
@@ -22,7 +17,7 @@
     ChangeUncertain,
     QuorumMissing,
 )
-from hawthornbridge.domains import CapacityShort, DomainMoves, Shortage
+from hawthornbridge.domains import CapacityShort, Shortage
 from hawthornbridge.model import (
     DomainState,
     Entry,
@@ -42,70 +37,18 @@
     change_to_wire,
     refusal_from_wire,
 )
-from hawthornbridge.operators import OperationsService, OperatorApp
-from hawthornbridge.settings import LimitSettings
-
-TOKEN = "operators-token-1"
-NOW_MS = 1_000_000
-
-
-async def probes(scope, receive, send):
-    await send({"type": "http.response.start", "status": 200, "headers": [(b"content-length", b"2")]})
-    await send({"type": "http.response.body", "body": b"ok"})
-
-
-class OperatorHost:
-    """Serve operators on a loopback socket in a thread of its own."""
-
-    def __init__(self):
-        self.head = FakeHead(catalogue())
-        self.load = FakeLoad()
-        self.log = FakeChangeLog(self.head)
-        self.moves = DomainMoves(self.log, self.load, "h1")
-        self.cuts = []
-        service = OperationsService(
-            self.log,
-            self.moves,
-            self.load,
-            cut=lambda rollout, reason: self.cuts.append((rollout.new, reason)),
-            now_ms=lambda: NOW_MS,
-        )
-        app = OperatorApp(service, TOKEN, LimitSettings(body_bytes=4_096, read_ms=50), probes)
-        self._server = uvicorn.Server(
-            uvicorn.Config(app, port=0, http="httptools", loop="asyncio", lifespan="off", log_config=None)
-        )
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
-        self._thread = threading.Thread(target=self._run)
-        self._thread.start()
-        while not self._server.started:
-            time.sleep(0.002)
-
-    def _run(self):
-        async def run():
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.moves.run)
-                await self._server.serve([self._socket])
-                tasks.cancel_scope.cancel()
-
-        anyio.run(run)
-
-    def reset(self):
-        self.head.__init__(catalogue())
-        self.load.__init__()
-        self.log.__init__(self.head)
-        self.cuts.clear()
-
-    def close(self):
-        self._server.should_exit = self._server.force_exit = True
-        self._thread.join()
 
 
 @pytest.fixture(scope="module")
 def running_host():
-    running = OperatorHost()
-    yield running
-    running.close()
+    with pytest.MonkeyPatch.context() as patch:
+        # Real sockets rule out a virtual clock, so the intervals are short instead.
+        patch.setattr(domains, "POLL_S", 0.02)
+        patch.setattr(domains, "SHORTAGE_CONFIRMED_S", 0.05)
+        patch.setattr(operators, "WATCH_INTERVAL_S", 0.02)
+        running = OperatorHost()
+        yield running
+        running.close()
 
 
 @pytest.fixture
@@ -249,7 +192,7 @@
     assert (code, told) == (Code.FAILED_PRECONDITION, CapacityShort((Shortage("desk", "s0", 9, 4, 2),)))
     assert host.head.entries == []
     request.force = True
-    assert client.drain_failure_domain(request).generation == host.head.catalogue.generation
+    assert client.drain_failure_domain(request).generation == host.head.entries[0].generation
 
 
 def test_a_drain_is_watched_until_done_and_then_restored(host, client):
