--- a/hawthornbridge/operationscodec.py
+++ b/hawthornbridge/operationscodec.py
@@ -310,6 +310,8 @@
 
 def _rollout_to_wire(rollout: Rollout) -> pb.Rollout:
     tree = msgspec.structs.asdict(rollout)
+    # Which host decides is not an operator's business, and a claim changes it.
+    del tree["decider"]
     return pb.Rollout(**tree | {"steps": list(rollout.steps), "state": pb.RolloutState[rollout.state.name]})
 
 
