--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -16,6 +16,10 @@
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
 
+    # 500 to 599: the platform's store
+    STORE_CIRCUIT_OPENED = 501
+    STORE_CIRCUIT_CLOSED = 502
+
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its number and fields."""
--- a/hawthornbridge/store.py
+++ b/hawthornbridge/store.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "ABSENT",
+    "VALUE_LIMIT_BYTES",
     "Ambiguous",
     "Applied",
     "Conflict",
@@ -28,6 +29,9 @@
 # The revision that a compare-and-swap names to create a key.
 ABSENT = Revision(0)
 
+# The store refuses larger values.
+VALUE_LIMIT_BYTES = 1_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class Found:
--- a/standins/memorystore.py
+++ b/standins/memorystore.py
@@ -12,6 +12,7 @@
 
 from hawthornbridge.store import (
     ABSENT,
+    VALUE_LIMIT_BYTES,
     Ambiguous,
     Applied,
     Conflict,
@@ -34,8 +35,6 @@
 
 __all__ = ["Fault", "MemoryStore", "StoreFaults", "StoreState"]
 
-VALUE_LIMIT_BYTES = 1_000_000
-
 OutcomeT = TypeVar("OutcomeT")
 
 
--- a/tests/test_storehttp.py
+++ b/tests/test_storehttp.py
@@ -7,6 +7,7 @@
 
 from hawthornbridge.store import (
     ABSENT,
+    VALUE_LIMIT_BYTES,
     Ambiguous,
     Applied,
     Conflict,
@@ -19,7 +20,7 @@
     WatchTimeout,
 )
 from hawthornbridge.storehttp import HttpStore
-from standins.memorystore import VALUE_LIMIT_BYTES, Fault, MemoryStore
+from standins.memorystore import Fault, MemoryStore
 from standins.store import StoreServer
 
 KEY = Key("a/b c?&é")
