--- a/hawthornbridge/callers.py
+++ b/hawthornbridge/callers.py
@@ -29,6 +29,8 @@
     RefusalKind.OVERLOADED: 429,
     RefusalKind.KEY_EXPIRED: 410,
     RefusalKind.IN_PROGRESS: 409,
+    RefusalKind.KEY_MISMATCH: 422,
+    RefusalKind.RESULT_NOT_KEPT: 410,
     RefusalKind.DEADLINE: 504,
     RefusalKind.UPSTREAM_FAILED: 502,
 }
--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -20,6 +20,15 @@
     STORE_CIRCUIT_OPENED = 501
     STORE_CIRCUIT_CLOSED = 502
 
+    # 900 to 999: claims and executions
+    CLAIM_UNSETTLED = 901
+    CLAIM_OUTCOME_LOST = 902
+    CLAIM_BUCKET_UNREADABLE = 903
+    CLAIM_WINDOWS_DELETED = 904
+    CLAIM_BUCKET_FULL = 905
+    EXECUTION_UNKNOWN = 910
+    EXECUTION_FAILED = 911
+
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its number and fields."""
--- a/hawthornbridge/outcomes.py
+++ b/hawthornbridge/outcomes.py
@@ -28,6 +28,8 @@
     STORE_UNAVAILABLE = "store_unavailable"
     IN_PROGRESS = "in_progress"
     KEY_EXPIRED = "key_expired"
+    KEY_MISMATCH = "key_mismatch"
+    RESULT_NOT_KEPT = "result_not_kept"
     UPSTREAM_FAILED = "upstream_failed"
     STOPPING = "stopping"
 
