--- /dev/null
+++ b/tests/test_executions.py
@@ -0,0 +1,388 @@
+import anyio
+import msgspec
+import pytest
+import trio
+import trio.testing
+import uuid_utils
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from hawthornbridge.claims import Claim, ClaimState
+from hawthornbridge.executions import shard_of
+from hawthornbridge.model import Entry, PutShardMap, ShardMap
+from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
+from hawthornbridge.requests import ExecuteAnswer
+from hawthornbridge.store import Key
+from standins.memorystore import Fault
+from tests.ledger import EPOCH_S, PRICE, SERVICE, Opened, Send, catalogue, new_key
+
+
+def key_at(time_s):
+    return str(uuid_utils.uuid7(nanoseconds=int(time_s * 1e9)))
+
+
+def refused(outcome, kind, execution):
+    return isinstance(outcome, Refusal) and (outcome.kind, outcome.execution) == (kind, execution)
+
+
+@pytest.mark.anyio
+async def test_a_repeat_on_any_host_receives_the_first_result():
+    async with Opened(2) as world:
+        one, two = world.hosts
+        key = new_key()
+        first = await one.order(key)
+        assert isinstance(first, ExecuteAnswer) and not first.repeated
+        for host in (one, two):
+            again = await host.order(key)
+            assert (again.result, again.repeated) == (first.result, True)
+        assert world.ledger.per_key == {key: 1}
+
+
+@pytest.mark.anyio
+async def test_repeats_during_the_first_run_join_it_or_wait_for_it():
+    async with Opened(3) as world:
+        world.ledger.service_s = 0.3
+        key = new_key()
+        answers = []
+
+        async def order(host):
+            answers.append(await host.order(key))
+
+        async with anyio.create_task_group() as tasks:
+            for host in world.hosts * 3:
+                tasks.start_soon(order, host)
+        assert len({answer.result["by"] for answer in answers}) == 1
+        assert sum(not answer.repeated for answer in answers) == 1
+        assert world.ledger.per_key == {key: 1}
+
+
+@pytest.mark.anyio
+async def test_a_repeat_whose_deadline_ends_first_receives_unknown():
+    async with Opened(2) as world:
+        one, two = world.hosts
+        world.ledger.service_s = 0.8
+        key = new_key()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(one.order, key)
+            await anyio.sleep(0.1)
+            for host in (one, two):
+                assert refused(await host.order(key, 0.2), RefusalKind.IN_PROGRESS, Execution.UNKNOWN)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("make_key", "kind", "execution"),
+    [
+        (lambda: "not-a-key", RefusalKind.BAD_REQUEST, Execution.NOT_RUN),
+        (lambda: str(uuid_utils.uuid4()), RefusalKind.BAD_REQUEST, Execution.NOT_RUN),
+        (lambda: key_at(EPOCH_S).upper(), RefusalKind.BAD_REQUEST, Execution.NOT_RUN),
+        (lambda: key_at(EPOCH_S - 601), RefusalKind.KEY_EXPIRED, Execution.UNKNOWN),
+        (lambda: key_at(EPOCH_S + 62), RefusalKind.BAD_REQUEST, Execution.NOT_RUN),
+    ],
+)
+async def test_a_bad_key_is_refused_before_the_store_is_asked(make_key, kind, execution):
+    async with Opened(1) as world:
+        outcome = await world.hosts[0].order(make_key())
+        assert refused(outcome, kind, execution)
+        assert outcome.field == "idempotency_key"
+        assert world.state.calls.total() == 0
+        assert world.ledger.executed == []
+
+
+@pytest.mark.anyio
+async def test_another_body_under_the_same_key_is_refused_on_every_host():
+    async with Opened(2) as world:
+        one, two = world.hosts
+        key = new_key()
+        await one.order(key, payload={"copies": 1})
+        for host in (one, two):
+            outcome = await host.order(key, payload={"copies": 2})
+            assert refused(outcome, RefusalKind.KEY_MISMATCH, Execution.NOT_RUN)
+        assert world.ledger.per_key == {key: 1}
+
+
+@pytest.mark.anyio
+async def test_an_idempotent_route_makes_no_claim():
+    async with Opened(1) as world:
+        for _ in range(2):
+            assert isinstance(await world.hosts[0].order("any", route=PRICE), ExecuteAnswer)
+        assert world.state.calls.total() == 0
+
+
+@pytest.mark.anyio
+async def test_a_second_upstream_follows_only_a_proof_that_the_first_did_not_run():
+    async with Opened(1) as world:
+        (host,) = world.hosts
+        key = new_key()
+        world.ledger.script.extend([Send.REFUSE, Send.REFUSE])
+        assert isinstance(await host.order(key), ExecuteAnswer)
+        assert len(host.sent) == 3
+        for number, send in enumerate((Send.LOSE_REQUEST, Send.LOSE_ANSWER), start=1):
+            host.sent.clear()
+            world.ledger.script.append(send)
+            key = new_key(number)
+            assert refused(await host.order(key), RefusalKind.UPSTREAM_FAILED, Execution.UNKNOWN)
+            assert refused(await host.order(key), RefusalKind.UPSTREAM_FAILED, Execution.UNKNOWN)
+            assert len(host.sent) == 1
+
+
+@pytest.mark.anyio
+async def test_refusals_by_every_upstream_release_the_key():
+    async with Opened(2) as world:
+        one, two = world.hosts
+        key = new_key()
+        world.ledger.script.extend([Send.REFUSE] * 3)
+        assert refused(await one.order(key), RefusalKind.UPSTREAM_FAILED, Execution.NOT_RUN)
+        assert isinstance(await two.order(key), ExecuteAnswer)
+
+
+@pytest.mark.anyio
+async def test_a_store_that_is_down_refuses_before_anything_is_sent():
+    async with Opened(1) as world:
+        (host,) = world.hosts
+        host.store.faults.unavailable = True
+        assert refused(await host.order(new_key()), RefusalKind.STORE_UNAVAILABLE, Execution.NOT_RUN)
+        assert host.sent == []
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("fault", [Fault.LOST_BEFORE, Fault.LOST_AFTER])
+async def test_a_claim_that_is_not_settled_in_time_is_not_dispatched(fault):
+    async with Opened(2) as world:
+        one, two = world.hosts
+        key = new_key()
+        one.store.faults.next_calls.extend([Fault.NONE, fault, *[Fault.UNAVAILABLE] * 50])
+        assert (await one.order(key, 0.1)).execution is Execution.NOT_RUN
+        one.store.faults.next_calls.clear()
+        await anyio.sleep(5)
+        assert one.sent == []
+        assert isinstance(await two.order(key), ExecuteAnswer)
+
+
+@pytest.mark.anyio
+async def test_a_pause_between_claim_and_dispatch_ends_in_not_run():
+    async with Opened(2) as world:
+        one, two = world.hosts
+        key = new_key()
+        one.store.faults.delay_s = 0.01
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(one.order, key, 0.2)
+            await anyio.sleep(0.015)
+            one.pause()
+            await anyio.sleep(5)
+            one.resume()
+        await anyio.sleep(1)
+        assert one.sent == []
+        assert isinstance(await two.order(key), ExecuteAnswer)
+
+
+@pytest.mark.anyio
+async def test_a_host_lost_after_its_claim_leaves_the_outcome_unknown():
+    async with Opened(2) as world:
+        one, two = world.hosts
+        key = new_key()
+        world.ledger.service_s = 0.5
+        world.ledger.tasks.start_soon(one.order, key)
+        await anyio.sleep(0.1)
+        one.lose()
+        await anyio.sleep(1)
+        assert refused(await two.order(key), RefusalKind.IN_PROGRESS, Execution.UNKNOWN)
+        assert two.sent == []
+
+
+@pytest.mark.anyio
+async def test_a_result_that_comes_after_the_deadline_is_kept_for_repeats():
+    async with Opened(2) as world:
+        one, two = world.hosts
+        key = new_key()
+        world.ledger.service_s = 0.6
+        assert refused(await one.order(key, 0.3), RefusalKind.IN_PROGRESS, Execution.UNKNOWN)
+        assert isinstance(await two.order(key), ExecuteAnswer)
+        assert world.ledger.per_key == {key: 1}
+
+
+@pytest.mark.anyio
+async def test_an_unexpected_error_after_the_dispatch_counts_as_unknown():
+    async with Opened(1) as world:
+        (host,) = world.hosts
+
+        async def fail(state, request):
+            raise RuntimeError("scripted")
+
+        host.executions._upstreams.execute = fail
+        key = new_key()
+        for _ in range(2):
+            assert refused(await host.order(key), RefusalKind.UPSTREAM_FAILED, Execution.UNKNOWN)
+
+
+def test_a_new_map_moves_few_keys_and_stays_stable():
+    """Guard against a second run when the map changes: the claim covers the key on every shard."""
+    old = catalogue(["s0", "s1", "s2", "s3"])
+    shard_map = ShardMap(id="m2", service=SERVICE, shards=("s0", "s1", "s2", "s3", "s4"))
+    new = old.apply(Entry(old.generation + 1, "grow", PutShardMap(shard_map)))
+    keys = [key_at(EPOCH_S + number) for number in range(1_000)]
+    moved = [key for key in keys if shard_of(old, SERVICE, key) != shard_of(new, SERVICE, key)]
+    assert {shard_of(new, SERVICE, key) for key in moved} == {"s4"}
+    assert 150 < len(moved) < 250
+    assert [shard_of(old, SERVICE, key) for key in keys] == [shard_of(old, SERVICE, key) for key in keys]
+
+
+@pytest.mark.anyio
+async def test_a_repeat_after_a_repartitioning_runs_on_no_second_shard():
+    async with Opened(2) as world:
+        one, two = world.hosts
+        one.catalogue, two.catalogue = catalogue(["s0"]), catalogue(["s9"])
+        key = new_key()
+        first = await one.order(key)
+        assert (await two.order(key)).result == first.result
+        assert world.ledger.per_key == {key: 1}
+
+
+HOSTS = 3
+KEYS = 3
+WAITS_S = st.sampled_from([0.03, 0.1, 0.4, 1.5])
+GAPS_S = st.sampled_from([0.0, 0.001, 0.01, 0.06, 0.3, 2.0])
+HOST = st.integers(0, HOSTS - 1)
+
+
+class Executed:
+    """Check the answers against the ledger: the naive model is the set of requests that ran."""
+
+    def __init__(self):
+        self.answers = {}
+        self.not_run = set()
+
+    def add(self, key, answer, request_id):
+        self.answers.setdefault(key, []).append(answer)
+        if isinstance(answer, Refusal) and answer.execution is Execution.NOT_RUN:
+            self.not_run.add(request_id)
+
+    def check(self, world):
+        for key, count in world.ledger.per_key.items():
+            assert count == 1, f"{key} ran {count} times"
+        assert not self.not_run & world.ledger.request_ids, "a request answered with not_run ran"
+        for key, answers in self.answers.items():
+            results = {str(answer.result) for answer in answers if isinstance(answer, ExecuteAnswer)}
+            assert len(results) <= 1, f"{key} has several results"
+            if results:
+                assert world.ledger.per_key[key] == 1, f"{key} has a result and did not run"
+
+    def check_claims(self, world, seen):
+        """Check that a recorded outcome never changes and that a released attempt never ran."""
+        for held in world.state.below(Key("claims/")).values:
+            for key, claim in msgspec.msgpack.decode(held.value, type=dict[str, Claim]).items():
+                if claim.state is ClaimState.RELEASED:
+                    assert claim.attempt not in world.ledger.attempts, f"{key} was released and ran"
+                if claim.state in (ClaimState.RAN, ClaimState.UNKNOWN):
+                    assert seen.setdefault(key, claim) == claim, f"the outcome of {key} changed"
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """Collect a schedule of orders and failures, and play it in virtual time when it is complete."""
+
+    def __init__(self):
+        super().__init__()
+        self.steps = []
+
+    @rule(host=HOST, key=st.integers(0, KEYS - 1), wait_s=WAITS_S, gap_s=GAPS_S)
+    def order(self, host, key, wait_s, gap_s):
+        self.steps.append(("order", host, (key, wait_s), gap_s))
+
+    @rule(host=HOST, faults=st.lists(st.sampled_from(Fault), min_size=1, max_size=6), gap_s=GAPS_S)
+    def lose_store_answers(self, host, faults, gap_s):
+        self.steps.append(("faults", host, faults, gap_s))
+
+    @rule(host=HOST, delay_s=st.sampled_from([0.0, 0.004, 0.05, 0.5]), gap_s=GAPS_S)
+    def slow_store(self, host, delay_s, gap_s):
+        self.steps.append(("slow", host, delay_s, gap_s))
+
+    @rule(host=HOST, down=st.booleans(), gap_s=GAPS_S)
+    def store_outage(self, host, down, gap_s):
+        self.steps.append(("down", host, down, gap_s))
+
+    @rule(host=HOST, gap_s=GAPS_S)
+    def pause(self, host, gap_s):
+        self.steps.append(("pause", host, None, gap_s))
+
+    @rule(host=HOST, gap_s=GAPS_S)
+    def resume(self, host, gap_s):
+        self.steps.append(("resume", host, None, gap_s))
+
+    @rule(host=HOST, gap_s=GAPS_S)
+    def lose_host(self, host, gap_s):
+        self.steps.append(("lose", host, None, gap_s))
+
+    @rule(host=HOST, gap_s=st.sampled_from([0.0, 350.0]))
+    def sweep(self, host, gap_s):
+        self.steps.append(("sweep", host, None, gap_s))
+
+    @rule(sends=st.lists(st.sampled_from(Send), min_size=1, max_size=4), gap_s=GAPS_S)
+    def upstream_faults(self, sends, gap_s):
+        self.steps.append(("sends", 0, sends, gap_s))
+
+    def teardown(self):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(play, self.steps, clock=clock)
+
+
+async def play(steps):
+    executed, seen = Executed(), {}
+    async with Opened(HOSTS) as world:
+        keys = [new_key(number) for number in range(KEYS)]
+
+        async def order(host, key, wait_s, number):
+            answer = await host.order(key, wait_s, request_id=f"r{number}")
+            executed.add(key, answer, f"r{number}")
+
+        for number, (kind, index, value, gap_s) in enumerate(steps):
+            host = world.hosts[index]
+            match kind:
+                case "order" if not host.lost:
+                    world.ledger.tasks.start_soon(order, host, keys[value[0]], value[1], number)
+                case "faults" if not host.lost:
+                    host.store.faults.next_calls.extend(value)
+                case "slow" if not host.lost:
+                    host.store.faults.delay_s = value
+                case "down" if not host.lost:
+                    host.store.faults.unavailable = value
+                case "pause":
+                    host.pause()
+                case "resume":
+                    host.resume()
+                case "lose" if sum(not other.lost for other in world.hosts) > 1:
+                    host.lose()
+                case "sweep" if not host.lost:
+                    world.ledger.tasks.start_soon(host.claims.sweep, SERVICE)
+                case "sends":
+                    world.ledger.script.extend(value)
+            await anyio.sleep(gap_s)
+            executed.check(world)
+            executed.check_claims(world, seen)
+        for host in world.hosts:
+            host.resume()
+            if not host.lost:
+                host.store.faults.unavailable = False
+                host.store.faults.delay_s = 0.0
+                host.store.faults.next_calls.clear()
+        world.ledger.script.clear()
+        await anyio.sleep(60)
+        executed.check(world)
+        executed.check_claims(world, seen)
+        for host in world.hosts:
+            assert host.lost or host.executions.idle, f"{host.name} still works"
+        # Once all is quiet, an answer to a repeat agrees with the ledger, and a new key runs.
+        left = [host for host in world.hosts if not host.lost]
+        for key in keys:
+            before = world.ledger.per_key[key]
+            answer = await left[0].order(key, request_id=f"last-{key}")
+            executed.add(key, answer, f"last-{key}")
+            if before and isinstance(answer, Refusal):
+                assert answer.execution is not Execution.NOT_RUN
+        fresh = await left[-1].order(new_key(KEYS + 1))
+        assert isinstance(fresh, ExecuteAnswer), fresh
+        executed.check(world)
+        executed.check_claims(world, seen)
+
+
+AtMostOnce.TestCase.settings = settings(max_examples=120, stateful_step_count=30, deadline=None, derandomize=True)
+TestAtMostOnce = AtMostOnce.TestCase
