--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -29,6 +29,18 @@
     DRAIN_ROLLED_BACK = 813
     DRAIN_END_DELAYED = 814
     DRAIN_STALLED = 815
+    # 500 to 599: the platform's store
+    STORE_CIRCUIT_OPENED = 501
+    STORE_CIRCUIT_CLOSED = 502
+
+    # 900 to 999: claims and executions
+    CLAIM_UNSETTLED = 901
+    CLAIM_OUTCOME_LOST = 902
+    CLAIM_BUCKET_UNREADABLE = 903
+    CLAIM_WINDOWS_DELETED = 904
+    CLAIM_BUCKET_FULL = 905
+    EXECUTION_UNKNOWN = 910
+    EXECUTION_FAILED = 911
 
 
 def emit(event: Event, **fields: Any) -> None:
