Give an ended rollout its final share

Cause: share_of returned 0 for a finished rollout, so a caller of it would have sent all queries back to the old version. Change: an ended rollout has its own share, 1 or 0. Before: the new test fails for DONE; after: it passes. Conclusion: found while reading the search coordinator against this interface.

--- a/hawthornbridge/rollouts.py
+++ b/hawthornbridge/rollouts.py
@@ -96,8 +96,10 @@
     def share_of(self, service: ServiceName) -> float:
         """Return the share of a service's queries that the new version gets on this host now."""
         rollout = self._catalogue().rollouts.get(service)
-        if rollout is None or not rollout.is_open:
+        if rollout is None:
             return 0.0
+        if not rollout.is_open:
+            return rollout.share
         if rollout.id in self._cuts or anyio.current_time() - self._started_s < START_GRACE_S:
             return 0.0
         return rollout.share
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -2,6 +2,7 @@
 from dataclasses import dataclass
 
 import anyio
+import msgspec
 import pytest
 import trio
 import trio.testing
@@ -202,6 +203,16 @@
     assert host.share_of(SERVICE) == 0.05
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(("state", "share"), [(RolloutState.DONE, 1.0), (RolloutState.ROLLED_BACK, 0.0)])
+async def test_an_ended_rollout_decides_on_all_traffic(state, share):
+    changes = base_changes()
+    changes.append(PutRollout(msgspec.structs.replace(changes[-1].rollout, state=state)))
+    log = MemoryLog(changes)
+    host = Rollouts(lambda: log.catalogue, lambda evidence: None, HostId("h"), Incarnation(1), HOSTS)
+    assert host.share_of(SERVICE) == share
+
+
 @pytest.mark.parametrize("steps", [(0.1, 0.2), (0.05, 0.5), (0.05, 0.04), (0.0, 0.1)])
 def test_steps_that_break_the_ceiling_are_rejected(steps):
     with pytest.raises(ChangeRejectedError, match=r"rollout\.steps"):
