--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -16,6 +16,10 @@
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
 
+    # 500 to 599: the platform's store
+    STORE_CIRCUIT_OPENED = 501
+    STORE_CIRCUIT_CLOSED = 502
+
     # 800 to 849: operators' calls and moves of failure domains
     OPERATOR_CALL = 801
     OPERATOR_UNAUTHENTICATED = 802
@@ -31,6 +35,15 @@
     ROLLOUT_MOVED = 852
     DECIDER_ELECTED = 853
 
+    # 900 to 999: claims and executions
+    CLAIM_UNSETTLED = 901
+    CLAIM_OUTCOME_LOST = 902
+    CLAIM_BUCKET_UNREADABLE = 903
+    CLAIM_WINDOWS_DELETED = 904
+    CLAIM_BUCKET_FULL = 905
+    EXECUTION_UNKNOWN = 910
+    EXECUTION_FAILED = 911
+
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its number and fields."""
--- a/hawthornbridge/operationscodec.py
+++ b/hawthornbridge/operationscodec.py
@@ -310,6 +310,8 @@
 
 def _rollout_to_wire(rollout: Rollout) -> pb.Rollout:
     tree = msgspec.structs.asdict(rollout)
+    # Which host decides is not an operator's business, and a claim changes it.
+    del tree["decider"]
     return pb.Rollout(**tree | {"steps": list(rollout.steps), "state": pb.RolloutState[rollout.state.name]})
 
 
@@ -334,7 +336,7 @@
 
 
 def _rollout_tree(wire: pb.Rollout) -> dict[str, Any]:
-    names = ("service", "old", "new", "steps", "finish_by_ms", "started_ms", "step", "reason", "decider")
+    names = ("service", "old", "new", "steps", "finish_by_ms", "started_ms", "step", "reason")
     return _tree(wire, *names) | {"state": _enum_value(wire.state)}
 
 
