--- a/tests/test_commandline.py
+++ b/tests/test_commandline.py
@@ -1,5 +1,7 @@
+import re
 import socket
 import threading
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -226,3 +228,9 @@
         with pytest.raises(SystemExit) as raised:
             run(["--completion=complete"])
         assert (raised.value.code, capsys.readouterr().out.strip()) == (0, expected)
+
+
+def test_the_page_lists_every_exit_code():
+    page = (Path(__file__).parent.parent / "docs" / "operations.md").read_text()
+    listed = {(int(code), name) for code, name in re.findall(r"^\| (\d+) \| (\w+) \|", page, re.M)}
+    assert listed == {(code.value, code.name.lower()) for code in ExitCode}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,10 @@
+import re
+from pathlib import Path
+
+import msgspec
 import pytest
 
-from hawthornbridge.settings import SettingsError, decode, load
+from hawthornbridge.settings import Settings, SettingsError, decode, load
 
 VALID = {
     "host": {"id": "entry-1", "seat": 0, "seats": 3, "failure_domain": "a", "region": "r1"},
@@ -35,3 +39,44 @@
     path.write_text('{ // comment\n "host": {},\n}')
     with pytest.raises(SettingsError, match=r"host"):
         load(path)
+
+
+PAGE = Path(__file__).parent.parent / "docs" / "settings.md"
+UNITS = {"_per_s": "per s", "_ms": "ms", "_s": "s", "_bytes": "bytes"}
+
+
+def described(kind, prefix=""):
+    """Return the unit, range and default of each key below a struct."""
+    keys = {}
+    for field in kind.fields:
+        key = f"{prefix}{field.encode_name}"
+        if isinstance(field.type, msgspec.inspect.StructType):
+            keys |= described(field.type, f"{key}.")
+            continue
+        unit = next((unit for suffix, unit in UNITS.items() if key.endswith(suffix)), "")
+        default = "required" if field.required else msgspec.json.encode(field.default).decode()
+        keys[key] = (unit, allowed(field.type), default)
+    return keys
+
+
+def allowed(kind):
+    match kind:
+        case msgspec.inspect.Metadata(type=inner, extra_json_schema={"description": described_as}):
+            return described_as if inner else ""
+        case msgspec.inspect.VarTupleType(item_type=item):
+            return f"list of {allowed(item)}"
+        case msgspec.inspect.StrType(min_length=int(length)):
+            return f"at least {length} characters"
+        case msgspec.inspect.StrType():
+            return "text"
+        case msgspec.inspect.IntType() | msgspec.inspect.FloatType():
+            low = f"above {kind.gt:g}" if kind.gt is not None else f"{kind.ge}"
+            return f"{low} to {kind.le}" if kind.le is not None else f"{low} or more"
+    raise AssertionError(f"no words for {kind}")
+
+
+def test_the_page_lists_every_key_with_unit_range_and_default():
+    """Guards against a page that lags behind the code."""
+    rows = re.findall(r"^\| `([\w.]+)` \| (.*?) \| (.*?) \| `?(.*?)`? \|", PAGE.read_text(), re.M)
+    listed = {key: (unit.strip(), range_.strip(), default) for key, unit, range_, default in rows}
+    assert listed == described(msgspec.inspect.type_info(Settings))
