--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -16,10 +16,10 @@
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
 
-    # 850 to 899: rollouts
-    ROLLOUT_CUT = 851
-    ROLLOUT_MOVED = 852
-    DECIDER_ELECTED = 853
+    # 500 to 599: the platform's store
+    STORE_CIRCUIT_OPENED = 501
+    STORE_CIRCUIT_CLOSED = 502
+
     # 800 to 849: operators' calls and moves of failure domains
     OPERATOR_CALL = 801
     OPERATOR_UNAUTHENTICATED = 802
@@ -29,9 +29,11 @@
     DRAIN_ROLLED_BACK = 813
     DRAIN_END_DELAYED = 814
     DRAIN_STALLED = 815
-    # 500 to 599: the platform's store
-    STORE_CIRCUIT_OPENED = 501
-    STORE_CIRCUIT_CLOSED = 502
+
+    # 850 to 899: rollouts
+    ROLLOUT_CUT = 851
+    ROLLOUT_MOVED = 852
+    DECIDER_ELECTED = 853
 
     # 900 to 999: claims and executions
     CLAIM_UNSETTLED = 901
--- a/hawthornbridge/operators.py
+++ b/hawthornbridge/operators.py
@@ -33,7 +33,7 @@
 )
 from hawthornbridge.events import Event, emit
 from hawthornbridge.ids import DomainName, Generation, OperationId, ServiceName, VersionName
-from hawthornbridge.model import Change, PutFailureDomain, PutRollout, Rollout, RolloutState
+from hawthornbridge.model import Change, PutFailureDomain, PutRollout, PutService, Rollout, RolloutState
 from hawthornbridge.operations_connect import OperationsASGIApplication
 from hawthornbridge.operationscodec import (
     FieldError,
@@ -58,8 +58,6 @@
 PROBE_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 OPERATION_ID_LENGTH = 128
 REASON_LENGTH = 512
-# The share that a version may get before it has been judged (section 1 of the design page).
-FIRST_STEP_CEILING = 0.05
 WATCH_INTERVAL_S = 0.5
 CATCH_UP_S = 2.0
 # Each watch holds a connection and reads the load twice a second.
@@ -91,11 +89,14 @@
         log: ChangeLog,
         moves: DomainMoves,
         load: LoadSource,
+        *,
+        cut: Callable[[Rollout, str], None],
         now_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
     ) -> None:
         self._log = log
         self._moves = moves
         self._load = load
+        self._cut = cut
         self._now_ms = now_ms
         self._watches = 0
 
@@ -103,9 +104,10 @@
         """Put or remove one entity."""
         operation_id = await self._begin(request)
         try:
-            change = self._keeping_state(change_from_wire(request.change))
+            change = change_from_wire(request.change)
         except FieldError as error:
             _refuse(ChangeInvalid(error.field, error.detail))
+        change = self._without_moves(change, Generation(request.expected_generation))
         return _answer("change", operation_id, await self._propose(change, operation_id, request))
 
     async def drain_failure_domain(self, request: pb.MoveFailureDomainRequest, _context: object) -> pb.ChangeResponse:
@@ -203,29 +205,30 @@
             _refuse(ChangeInvalid("expected_generation", f"this host is at generation {generation} only"))
         return operation_id
 
-    def _keeping_state(self, change: Change) -> Change:
-        if not isinstance(change, PutFailureDomain):
-            return change
-        # Only drain and restore change the state; the expected generation guards what is kept here.
-        current = self._log.catalogue.domains.get(change.domain.name)
-        return PutFailureDomain(current) if current is not None else change
+    def _without_moves(self, change: Change, expected: Generation) -> Change:
+        # Only drain and restore change a domain's state, and only a rollout moves a service to another version.
+        catalogue = self._log.catalogue
+        match change:
+            case PutFailureDomain(domain) if domain.name in catalogue.domains:
+                return PutFailureDomain(catalogue.domains[domain.name])
+            case PutService(service) if service.name in catalogue.services:
+                current = catalogue.services[service.name]
+                if current.generation == expected and current.version != service.version:
+                    detail = f"only a rollout changes the version, which is {current.version!r}"
+                    _refuse(ChangeInvalid("change.put_service.version", detail))
+        return change
 
     async def _propose(self, change: Change, operation_id: OperationId, request: _ChangeCall) -> DrainOutcome:
         expected = Generation(request.expected_generation)
         return await self._log.propose(change, expected, operation_id, force=request.force)
 
     def _check_start(self, rollout: Rollout, last: Rollout | None) -> None:
-        if last is not None and last.state in (RolloutState.RUNNING, RolloutState.HELD):
+        if last is not None and last.is_open:
             _refuse(ChangeInvalid("service", f"its rollout to {last.new!r} has not ended"))
         if rollout.new == rollout.old:
             _refuse(ChangeInvalid("new", f"{rollout.new!r} is the present version"))
         if not rollout.steps:
             _refuse(ChangeInvalid("steps", "no step"))
-        if not 0 < rollout.steps[0] <= FIRST_STEP_CEILING:
-            _refuse(ChangeInvalid("steps[0]", f"expected a share above 0 and at most {FIRST_STEP_CEILING}"))
-        for number in range(1, len(rollout.steps)):
-            if not rollout.steps[number - 1] < rollout.steps[number] <= 1:
-                _refuse(ChangeInvalid(f"steps[{number}]", "expected a share above the step before, and at most 1"))
         if rollout.finish_by_ms <= rollout.started_ms:
             _refuse(ChangeInvalid("finish_by_ms", "expected a time to come"))
 
@@ -239,6 +242,9 @@
             _refuse(ChangeInvalid("service", f"no rollout of {request.service!r}"))
         if rollout.generation == request.expected_generation and rollout.state not in allowed:
             _refuse(ChangeInvalid("service", f"its rollout is {rollout.state.value}"))
+        if state is RolloutState.ROLLED_BACK and rollout.generation == request.expected_generation:
+            # Stopping a version needs neither the store nor a quorum.
+            self._cut(rollout, reason or "rolled back by an operator")
         change = PutRollout(msgspec.structs.replace(rollout, state=state, reason=reason))
         return _answer(f"rollout_{state.value}", operation_id, await self._propose(change, operation_id, request))
 
