--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -199,6 +199,36 @@
         assert await two.claim(key, "a2") == Claimed()
 
 
+async def test_a_caller_cancelled_as_its_claim_is_applied_leaves_no_claim():
+    async with hosts() as (one, two):
+        key = new_key()
+        write = one.store.compare_and_swap
+        with anyio.CancelScope() as scope:
+
+            async def write_and_cancel(*arguments):
+                outcome = await write(*arguments)
+                scope.cancel()
+                return outcome
+
+            one.store.compare_and_swap = write_and_cancel
+            await one.claim(key, "a1")
+        await one.settled()
+        assert await two.claim(key, "a2") == Claimed()
+
+
+async def test_an_outcome_past_the_retention_is_dropped_while_the_store_is_down():
+    """Guard against changes that pile up during a long outage."""
+    async with hosts(1) as (one,):
+        key = new_key()
+        await one.claim(key, "a1")
+        one.faults.unavailable = True
+        one.record(key, "a1", ClaimState.RAN, b"1")
+        await anyio.sleep(one.claims.limits.kept_s - 1)
+        assert not one.claims.idle
+        await anyio.sleep(1 + 2 * WINDOW_MS / 1_000)
+        assert one.claims.idle
+
+
 async def test_a_store_that_is_down_refuses_claims_at_once_and_keeps_outcomes():
     async with hosts() as (one, two):
         key = new_key()
--- a/tests/test_storehttp.py
+++ b/tests/test_storehttp.py
@@ -3,7 +3,10 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import httpcore
 import pytest
+import trio
+import trio.testing
 
 from hawthornbridge.store import (
     ABSENT,
@@ -145,6 +148,25 @@
         assert await store.release_lease(other.id) == LeaseLost(other.id)
 
 
+@pytest.mark.parametrize("renew", [False, True])
+def test_a_lease_is_counted_from_before_the_request(renew):
+    """Guard against a holder that trusts a slowly answered lease longer than the store does."""
+
+    class SlowPool:
+        async def handle_async_request(self, request):
+            await anyio.sleep(3)
+            return httpcore.Response(200, content=b'{"outcome": "lease", "lease": "lease-1"}')
+
+    async def check():
+        store = HttpStore("127.0.0.1:1", call_timeout_s=10)
+        store._pool = SlowPool()
+        sent_s = anyio.current_time()
+        lease = await (store.renew_lease("lease-1", 20) if renew else store.grant_lease(20))
+        assert lease == LeaseGranted("lease-1", sent_s + 20)
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("kind", [*READS, *WRITES])
 @pytest.mark.parametrize("fault", [Fault.UNAVAILABLE, Fault.LOST_BEFORE, Fault.LOST_AFTER])
