Hedge, retry and restart queries within budgets

Change: a Protocol describes the table of upstreams as queries see it. Each shard's task hedges after the 97th percentile of its service and route, retries on other replicas, and cancels losers; both kinds of extra load have budgets of their own. Sub-requests carry ids of the host's own, since callers may repeat each other's.

--- a/hawthornbridge/daemon.py
+++ b/hawthornbridge/daemon.py
@@ -12,13 +12,14 @@
 # Imported for their registration as plug-ins.
 from hawthornbridge import callers, leafhttp, replicas  # noqa: F401
 from hawthornbridge.events import Event, emit
+from hawthornbridge.ids import RequestId
 from hawthornbridge.model import Catalogue
 from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
 from hawthornbridge.registry import Kind, lookup
 from hawthornbridge.requests import ExecuteAnswer, ExecuteRequest, SearchAnswer, SearchRequest
 from hawthornbridge.search import Searcher
 from hawthornbridge.settings import Settings, SettingsError, load
-from hawthornbridge.upstreams import UpstreamTable
+from hawthornbridge.upstreams import UpstreamState, UpstreamTable
 
 __all__ = ["Daemon", "main"]
 
@@ -33,7 +34,9 @@
         protocol = lookup(Kind.UPSTREAM_PROTOCOL, plugins.upstream_protocol)()
         choice = lookup(Kind.REPLICA_CHOICE, plugins.replica_choice)
         self._table = UpstreamTable(protocol, choice, settings.host.seats)
-        self._searcher = Searcher(self._table)
+        limits = settings.limits
+        hedging = lookup(Kind.HEDGING, plugins.hedging)(limits.hedge_share, limits.retry_share)
+        self._searcher = Searcher(_Upstreams(self._table), lambda: self._catalogue, hedging)
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
@@ -42,6 +45,7 @@
         server = _http_server(app, self._settings.listeners.callers)
         async with anyio.create_task_group() as tasks:
             self._table.apply(self._catalogue, tasks)
+            tasks.start_soon(self._searcher.run)
             tasks.start_soon(server.serve)
             while not server.started:
                 await anyio.sleep(0.01)
@@ -50,7 +54,7 @@
 
     async def search(self, request: SearchRequest) -> SearchAnswer | Refusal:
         """Answer a search."""
-        return await self._searcher.search(self._catalogue, request)
+        return await self._searcher.search(request)
 
     async def execute(self, request: ExecuteRequest) -> ExecuteAnswer | Refusal:
         """Refuse a non-idempotent request: the store is not connected yet."""
@@ -61,6 +65,20 @@
         return [self._settings.listeners.callers]
 
 
+class _Upstreams:
+    """Add the calls that the table lacks so far: hedge candidates and cancellation."""
+
+    def __init__(self, table: UpstreamTable) -> None:
+        self.usable = table.usable
+        self.choose = table.choose
+        self.choose_hedge = table.choose
+        self.search = table.search
+
+    async def cancel(self, replica: UpstreamState, request_id: RequestId) -> None:
+        """Tell an upstream that nobody waits for a request any more."""
+        await replica.connections.run(lambda channel: channel.cancel(request_id))
+
+
 def _http_server(app: object, address: str) -> uvicorn.Server:
     host, _, port = address.partition(":")
     config = uvicorn.Config(
--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -16,6 +16,11 @@
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
 
+    # 200 to 299: callers and admission
+
+    # 300 to 399: search
+    SEARCH_RESTARTED = 301
+
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its number and fields."""
--- /dev/null
+++ b/hawthornbridge/hedging.py
@@ -0,0 +1,215 @@
+"""Hedge delay from latency histograms, and the budgets of hedges and retries."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+from hdrh.histogram import HdrHistogram
+
+from hawthornbridge.ids import RouteName, ServiceName
+from hawthornbridge.registry import Kind, register
+
+__all__ = ["Budget", "HedgePolicy", "LatencyWindows", "NaivePolicy", "QuantileHedging", "UnhedgedPolicy"]
+
+Clock = Callable[[], float]
+
+# The window is long enough for a steady quantile at 100 sub-requests/s and short enough to follow a load change.
+WINDOW_S = 10.0
+# A quantile takes about 0.2 ms to compute, so it is computed at most this often per service and route.
+REFRESH_S = 0.25
+# Below the hedge budget of 5%, so that the budget seldom runs out when a straggler needs it.
+HEDGE_QUANTILE = 97.0
+# A delay drawn from fewer replies follows single stragglers.
+FEWEST_SAMPLES = 50
+# The delay while there are too few samples.
+FIRST_DELAY_S = 0.05
+SHORTEST_DELAY_S = 0.001
+LOWEST_US = 64
+HIGHEST_US = 60_000_000
+SIGNIFICANT_FIGURES = 2
+# Bounds a burst of hedges after a quiet time.
+HEDGE_BURST = 10.0
+# Covers the sub-requests in flight to one lost upstream, about 25 connections on each of a few shards.
+RETRY_BURST = 100.0
+
+
+class HedgePolicy(Protocol):
+    """Decide when a second request is worth its load; the plug-in kind HEDGING, created with both shares."""
+
+    retries: bool
+
+    def sent(self, service: ServiceName) -> None:
+        """Count one first sub-request, which earns its share of the budgets."""
+
+    def observe(self, service: ServiceName, route: RouteName, latency_s: float) -> None:
+        """Record the time that a sub-request took."""
+
+    def delay_s(self, service: ServiceName, route: RouteName) -> float | None:
+        """Return how long to wait before hedging, or None to never hedge."""
+
+    def take_hedge(self, service: ServiceName) -> bool:
+        """Take one hedge from the budget, if it has one."""
+
+    def take_retry(self, service: ServiceName) -> bool:
+        """Take one retry from the budget, if it has one."""
+
+
+class Budget:
+    """Allow a share of the sub-requests sent as extra ones: a token bucket filled by sending."""
+
+    def __init__(self, share: float, burst: float, tokens: float = 0.0) -> None:
+        self._share = share
+        self._burst = burst
+        self._tokens = tokens
+
+    def earn(self) -> None:
+        """Count one sub-request that was sent."""
+        self._tokens = min(self._burst, self._tokens + self._share)
+
+    def take(self) -> bool:
+        """Take one token if there is one."""
+        # The sum of many shares may end just below a whole token.
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class LatencyWindows:
+    """Keep latencies in two overlapping windows; the older one is read, so that it always spans half a window."""
+
+    def __init__(self, clock: Clock = anyio.current_time) -> None:
+        self._clock = clock
+        self._older = _histogram()
+        self._newer = _histogram()
+        self._turned_s = clock()
+        self._read_s = float("-inf")
+        self._delay_s = FIRST_DELAY_S
+
+    def record(self, latency_s: float) -> None:
+        """Record one latency."""
+        self._turn()
+        value_us = min(HIGHEST_US, max(LOWEST_US, int(latency_s * 1_000_000)))
+        self._older.record_value(value_us)
+        self._newer.record_value(value_us)
+
+    def delay_s(self) -> float:
+        """Return the hedge quantile, or the first delay while there are too few samples."""
+        self._turn()
+        now_s = self._clock()
+        if now_s - self._read_s < REFRESH_S:
+            return self._delay_s
+        if self._older.total_count >= FEWEST_SAMPLES:
+            quantile_us = self._older.get_value_at_percentile(HEDGE_QUANTILE)
+            self._delay_s = max(SHORTEST_DELAY_S, quantile_us / 1_000_000)
+            self._read_s = now_s
+        return self._delay_s
+
+    def _turn(self) -> None:
+        now_s = self._clock()
+        if now_s - self._turned_s < WINDOW_S / 2:
+            return
+        self._turned_s = now_s
+        self._older, self._newer = self._newer, _histogram()
+
+
+class _Budgets:
+    """Hold one budget per service; services come from the configuration."""
+
+    def __init__(self, share: float, burst: float, tokens: float) -> None:
+        self._new = lambda: Budget(share, burst, tokens)
+        self._budgets: dict[ServiceName, Budget] = {}
+
+    def of(self, service: ServiceName) -> Budget:
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = self._new()
+        return budget
+
+
+@register(Kind.HEDGING, "naive")
+class NaivePolicy:
+    """Neither hedge nor retry; the naive baseline."""
+
+    retries = False
+
+    def __init__(self, hedge_share: float = 0.0, retry_share: float = 0.0) -> None:
+        pass
+
+    def sent(self, service: ServiceName) -> None:
+        """Count nothing."""
+
+    def observe(self, service: ServiceName, route: RouteName, latency_s: float) -> None:
+        """Record nothing."""
+
+    def delay_s(self, service: ServiceName, route: RouteName) -> float | None:
+        """Never hedge."""
+        return None
+
+    def take_hedge(self, service: ServiceName) -> bool:
+        """Never hedge."""
+        return False
+
+    def take_retry(self, service: ServiceName) -> bool:
+        """Never retry."""
+        return False
+
+
+@register(Kind.HEDGING, "none")
+class UnhedgedPolicy(NaivePolicy):
+    """Retry within the budget, but never hedge."""
+
+    retries = True
+
+    def __init__(self, hedge_share: float = 0.0, retry_share: float = 0.1) -> None:
+        super().__init__()
+        # Retries start with a full bucket, because an upstream may be lost right after the start.
+        self._retries = _Budgets(retry_share, RETRY_BURST, RETRY_BURST if retry_share else 0.0)
+
+    def sent(self, service: ServiceName) -> None:
+        """Earn a share of a retry."""
+        self._retries.of(service).earn()
+
+    def take_retry(self, service: ServiceName) -> bool:
+        """Take one retry from the budget, if it has one."""
+        return self._retries.of(service).take()
+
+
+@register(Kind.HEDGING, "quantile")
+class QuantileHedging(UnhedgedPolicy):
+    """Hedge after a high quantile of the latencies of the service and route."""
+
+    def __init__(self, hedge_share: float = 0.05, retry_share: float = 0.1, clock: Clock = anyio.current_time) -> None:
+        super().__init__(hedge_share, retry_share)
+        self._clock = clock
+        # Hedges start from an empty bucket, which keeps every run within the share.
+        self._hedges = _Budgets(hedge_share, HEDGE_BURST, 0.0)
+        self._windows: dict[tuple[ServiceName, RouteName], LatencyWindows] = {}
+
+    def sent(self, service: ServiceName) -> None:
+        """Earn a share of a hedge and of a retry."""
+        super().sent(service)
+        self._hedges.of(service).earn()
+
+    def observe(self, service: ServiceName, route: RouteName, latency_s: float) -> None:
+        """Record the time that a sub-request took."""
+        self._windows_of(service, route).record(latency_s)
+
+    def delay_s(self, service: ServiceName, route: RouteName) -> float | None:
+        """Return the hedge delay of the service and route."""
+        return self._windows_of(service, route).delay_s()
+
+    def take_hedge(self, service: ServiceName) -> bool:
+        """Take one hedge from the budget, if it has one."""
+        return self._hedges.of(service).take()
+
+    def _windows_of(self, service: ServiceName, route: RouteName) -> LatencyWindows:
+        windows = self._windows.get((service, route))
+        if windows is None:
+            windows = self._windows[service, route] = LatencyWindows(self._clock)
+        return windows
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_FIGURES)
--- a/hawthornbridge/metrics.py
+++ b/hawthornbridge/metrics.py
@@ -38,6 +38,9 @@
         self.sub_requests = Counter(
             "hawthornbridge_sub_requests", "Sub-requests sent", ("service", "purpose"), registry=self.registry
         )
+        self.cancels_dropped = Counter(
+            "hawthornbridge_cancels_dropped", "Cancel calls left out because too many wait", registry=self.registry
+        )
         self.refusals = Counter(
             "hawthornbridge_refusals", "Refused requests", ("service", "class", "kind"), registry=self.registry
         )
--- a/hawthornbridge/snapshots.py
+++ b/hawthornbridge/snapshots.py
@@ -1,12 +1,64 @@
-"""Choice of the index snapshot that a query pins."""
+"""Choice of the index snapshot that a query pins, and the view of upstreams that queries work with."""
 
+from collections.abc import Collection, Container, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Protocol, TypeVar
 
-from hawthornbridge.ids import ServiceName, SnapshotNumber, VersionName
-from hawthornbridge.model import Catalogue, ShardMap
-from hawthornbridge.upstreams import UpstreamTable
+from hawthornbridge.ids import MapId, RequestId, ServiceName, ShardName, SnapshotNumber, UpstreamId, VersionName
+from hawthornbridge.model import Catalogue, ShardMap, Upstream
+from hawthornbridge.subrequests import Search, SearchOutcome
 
-__all__ = ["PinnedSnapshot", "best_snapshot"]
+__all__ = ["PinnedSnapshot", "Replica", "Upstreams", "best_snapshot"]
+
+
+class Replica(Protocol):
+    """Describe one upstream as far as queries need to know it."""
+
+    @property
+    def upstream(self) -> Upstream:
+        """Return the upstream's configuration."""
+
+    @property
+    def snapshots(self) -> Mapping[SnapshotNumber, MapId]:
+        """Return the snapshots it holds and their maps."""
+
+
+ReplicaT = TypeVar("ReplicaT", bound=Replica)
+
+
+class Upstreams(Protocol[ReplicaT]):
+    """Choose replicas and talk to them; the table of upstreams implements it."""
+
+    def usable(
+        self, service: ServiceName, shard: ShardName, version: VersionName, snapshot: SnapshotNumber | None
+    ) -> Sequence[ReplicaT]:
+        """Return the replicas that may get new work and hold the snapshot; None stands for any snapshot."""
+
+    def choose(
+        self,
+        service: ServiceName,
+        shard: ShardName,
+        version: VersionName,
+        snapshot: SnapshotNumber | None,
+        excluded: Collection[UpstreamId] = (),
+    ) -> ReplicaT | None:
+        """Choose a replica for new work, or None if no usable one is left."""
+
+    def choose_hedge(
+        self,
+        service: ServiceName,
+        shard: ShardName,
+        version: VersionName,
+        snapshot: SnapshotNumber,
+        excluded: Collection[UpstreamId],
+    ) -> ReplicaT | None:
+        """Choose a replica for a hedged request: never a cold, shedding or leaving one."""
+
+    async def search(self, replica: ReplicaT, request: Search) -> SearchOutcome:
+        """Send a search and return its outcome; a caller that is cancelled leaves the reply to the table."""
+
+    async def cancel(self, replica: ReplicaT, request_id: RequestId) -> None:
+        """Tell a replica that nobody waits for a request any more."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,26 +67,40 @@
 
     number: SnapshotNumber
     shard_map: ShardMap
+    expected: int
+    """Number of shards that had a usable replica when the snapshot was chosen."""
+
+    @property
+    def key(self) -> tuple[MapId, SnapshotNumber]:
+        """Return what identifies the snapshot within its service."""
+        return self.shard_map.id, self.number
 
 
 def best_snapshot(
-    catalogue: Catalogue, table: UpstreamTable, service: ServiceName, version: VersionName
+    catalogue: Catalogue,
+    table: Upstreams[ReplicaT],
+    service: ServiceName,
+    versions: Sequence[VersionName],
+    excluded: Container[tuple[MapId, SnapshotNumber]] = (),
 ) -> PinnedSnapshot | None:
     """Return the newest snapshot with every shard usable, else the one that covers most."""
-    best: tuple[float, SnapshotNumber, ShardMap] | None = None
+    best: tuple[float, SnapshotNumber, PinnedSnapshot] | None = None
     for shard_map in catalogue.maps_of(service):
         counts: dict[SnapshotNumber, int] = {}
         for shard in shard_map.shards:
             held = {
                 number
-                for state in table.usable(service, shard, version, None)
-                for number, map_id in state.snapshots.items()
+                for version in versions
+                for replica in table.usable(service, shard, version, None)
+                for number, map_id in replica.snapshots.items()
                 if map_id == shard_map.id
             }
             for number in held:
                 counts[number] = counts.get(number, 0) + 1
         for number, count in counts.items():
-            candidate = (count / len(shard_map.shards), number, shard_map)
-            if best is None or candidate[:2] > best[:2]:
-                best = candidate
-    return PinnedSnapshot(best[1], best[2]) if best else None
+            if (shard_map.id, number) in excluded:
+                continue
+            ratio = count / len(shard_map.shards)
+            if best is None or (ratio, number) > best[:2]:
+                best = (ratio, number, PinnedSnapshot(number, shard_map, count))
+    return best[2] if best else None
