--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -21,6 +21,32 @@
     # 300 to 399: search
     SEARCH_RESTARTED = 301
 
+    # 850 to 899: rollouts
+    ROLLOUT_CUT = 851
+    ROLLOUT_MOVED = 852
+    DECIDER_ELECTED = 853
+    # 800 to 849: operators' calls and moves of failure domains
+    OPERATOR_CALL = 801
+    OPERATOR_UNAUTHENTICATED = 802
+    DOMAIN_MOVE_ACCEPTED = 810
+    DRAIN_REFUSED = 811
+    DRAIN_DONE = 812
+    DRAIN_ROLLED_BACK = 813
+    DRAIN_END_DELAYED = 814
+    DRAIN_STALLED = 815
+    # 500 to 599: the platform's store
+    STORE_CIRCUIT_OPENED = 501
+    STORE_CIRCUIT_CLOSED = 502
+
+    # 900 to 999: claims and executions
+    CLAIM_UNSETTLED = 901
+    CLAIM_OUTCOME_LOST = 902
+    CLAIM_BUCKET_UNREADABLE = 903
+    CLAIM_WINDOWS_DELETED = 904
+    CLAIM_BUCKET_FULL = 905
+    EXECUTION_UNKNOWN = 910
+    EXECUTION_FAILED = 911
+
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its number and fields."""
