--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -20,6 +20,15 @@
     STORE_CIRCUIT_OPENED = 501
     STORE_CIRCUIT_CLOSED = 502
 
+    # 200 to 299: callers and admission
+
+    # 300 to 399: search
+    SEARCH_RESTARTED = 301
+
+    # 850 to 899: rollouts
+    ROLLOUT_CUT = 851
+    ROLLOUT_MOVED = 852
+    DECIDER_ELECTED = 853
     # 800 to 849: operators' calls and moves of failure domains
     OPERATOR_CALL = 801
     OPERATOR_UNAUTHENTICATED = 802
