--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -16,6 +16,9 @@
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
 
+    # 300 to 399: upstreams
+    UPSTREAM_WITHOUT_QUOTA = 301
+
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its number and fields."""
--- a/hawthornbridge/leafhttp.py
+++ b/hawthornbridge/leafhttp.py
@@ -1,12 +1,14 @@
 """Upstream protocol over HTTP/1.1 and JSON."""
 
+import contextlib
+import select
 from typing import Any
 
 import anyio
 import httpcore
 import msgspec
 
-from hawthornbridge.ids import Incarnation, MapId, RequestId, ShardName, SnapshotNumber, VersionName
+from hawthornbridge.ids import Incarnation, MapId, RequestId, RouteName, ShardName, SnapshotNumber, VersionName
 from hawthornbridge.outcomes import Execution
 from hawthornbridge.registry import Kind, register
 from hawthornbridge.subrequests import (
@@ -29,9 +31,6 @@
 
 __all__ = ["HttpChannel", "HttpUpstreamProtocol"]
 
-CANCEL_TIMEOUT_S = 0.5
-STATUS_TIMEOUT_S = 1.0
-
 
 class _HitBody(msgspec.Struct):
     id: str
@@ -49,6 +48,16 @@
     slots: int
 
 
+class _SearchRequest(msgspec.Struct):
+    request_id: RequestId
+    route: RouteName
+    shard: ShardName
+    snapshot: SnapshotNumber
+    query: str
+    limit: int
+    deadline_ms: int
+
+
 class _ResultBody(msgspec.Struct):
     request_id: RequestId
     result: Any
@@ -86,38 +95,89 @@
 _encode = msgspec.json.Encoder().encode
 
 
+class _Stream(httpcore.AsyncNetworkStream):
+    """Join the head and the body of a request into one write.
+
+    The owner of the connection bounds the whole exchange, so the stream's own timeouts are not needed.
+    """
+
+    def __init__(self, stream: anyio.abc.SocketStream) -> None:
+        self._stream = stream
+        self._socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self._unsent: list[bytes] = []
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Send what was written, then wait for bytes; return none at the end of the stream."""
+        try:
+            if self._unsent:
+                unsent = b"".join(self._unsent)
+                self._unsent.clear()
+                await self._stream.send(unsent)
+            return await self._stream.receive(max_bytes)
+        except anyio.EndOfStream:
+            return b""
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise httpcore.ReadError(str(error)) from error
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Keep bytes until the next read."""
+        if buffer:
+            self._unsent.append(buffer)
+
+    async def aclose(self) -> None:
+        """Close the socket."""
+        with contextlib.suppress(OSError):
+            await anyio.aclose_forcefully(self._stream)
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return whether the socket is readable, which on an idle connection means that the other side closed it."""
+        if info != "is_readable":
+            return None
+        return bool(select.select((self._socket,), (), (), 0)[0])
+
+
 class HttpChannel:
     """Carry one exchange at a time over one HTTP/1.1 connection."""
 
-    def __init__(self, connection: httpcore.AsyncHTTPConnection, origin: httpcore.URL) -> None:
+    def __init__(self, connection: httpcore.AsyncHTTP11Connection, origin: httpcore.URL) -> None:
         self._connection = connection
-        self._origin = origin
-        self._host = origin.host + b":" + str(origin.port).encode()
+        host = origin.host + b":" + str(origin.port).encode()
+        self._host = (b"host", host)
+        self._urls = {
+            path: httpcore.URL(scheme=origin.scheme, host=origin.host, port=origin.port, target=path)
+            for path in (b"/v1/search", b"/v1/execute", b"/v1/cancel", b"/v1/status")
+        }
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether the idle connection is still open at the upstream's side."""
+        return not (self._connection.is_closed() or self._connection.has_expired())
 
     async def search(self, request: Search) -> SearchOutcome:
         """Ask for hits; the time left travels in deadline_ms."""
-        left_s = request.deadline_s - anyio.current_time()
-        body = {
-            "request_id": request.request_id,
-            "route": request.route,
-            "shard": request.shard,
-            "snapshot": request.snapshot,
-            "query": request.query,
-            "limit": request.limit,
-            "deadline_ms": max(0, int(left_s * 1_000)),
-        }
-        answer = await self._exchange(b"POST", b"/v1/search", _encode(body), left_s)
-        if isinstance(answer, UpstreamFailure | UpstreamRefusal):
+        body = _SearchRequest(
+            request.request_id,
+            request.route,
+            request.shard,
+            request.snapshot,
+            request.query,
+            request.limit,
+            _left_ms(request.deadline_s),
+        )
+        answer = await self._exchange(b"POST", b"/v1/search", _encode(body))
+        if not isinstance(answer, bytes):
             return answer
         try:
             reply = _search_decoder.decode(answer)
         except msgspec.MsgspecError as error:
             return UpstreamFailure(FailureKind.BAD_REPLY, Execution.UNKNOWN, str(error))
+        if reply.request_id != request.request_id:
+            return _crossed(reply.request_id)
         return SearchReply(
             request_id=reply.request_id,
             shard=reply.shard,
             snapshot=reply.snapshot,
-            hits=tuple(Hit(hit.id, hit.score) for hit in reply.hits),
+            hits=tuple([Hit(hit.id, hit.score) for hit in reply.hits]),
             incarnation=reply.incarnation,
             version=reply.version,
             in_flight=reply.in_flight,
@@ -126,7 +186,6 @@
 
     async def execute(self, request: Execute) -> ExecuteOutcome:
         """Run a non-idempotent request."""
-        left_s = request.deadline_s - anyio.current_time()
         body = {
             "request_id": request.request_id,
             "attempt_id": request.attempt_id,
@@ -134,25 +193,27 @@
             "route": request.route,
             "shard": request.shard,
             "payload": request.payload,
-            "deadline_ms": max(0, int(left_s * 1_000)),
+            "deadline_ms": _left_ms(request.deadline_s),
         }
-        answer = await self._exchange(b"POST", b"/v1/execute", _encode(body), left_s)
-        if isinstance(answer, UpstreamFailure | UpstreamRefusal):
+        answer = await self._exchange(b"POST", b"/v1/execute", _encode(body))
+        if not isinstance(answer, bytes):
             return answer
         try:
             reply = _result_decoder.decode(answer)
         except msgspec.MsgspecError as error:
             return UpstreamFailure(FailureKind.BAD_REPLY, Execution.UNKNOWN, str(error))
+        if reply.request_id != request.request_id:
+            return _crossed(reply.request_id)
         return Result(reply.request_id, reply.result, reply.incarnation)
 
     async def cancel(self, request_id: RequestId) -> UpstreamFailure | None:
         """Cancel a request in flight on another connection."""
-        answer = await self._exchange(b"POST", b"/v1/cancel", _encode({"request_id": request_id}), CANCEL_TIMEOUT_S)
+        answer = await self._exchange(b"POST", b"/v1/cancel", _encode({"request_id": request_id}))
         return answer if isinstance(answer, UpstreamFailure) else None
 
     async def status(self) -> StatusOutcome:
         """Ask the upstream about itself."""
-        answer = await self._exchange(b"GET", b"/v1/status", b"", STATUS_TIMEOUT_S)
+        answer = await self._exchange(b"GET", b"/v1/status", b"")
         match answer:
             case UpstreamFailure():
                 return answer
@@ -176,24 +237,17 @@
         """Close the connection."""
         await self._connection.aclose()
 
-    async def _exchange(
-        self, method: bytes, path: bytes, body: bytes, timeout_s: float
-    ) -> bytes | UpstreamRefusal | UpstreamFailure:
+    async def _exchange(self, method: bytes, path: bytes, body: bytes) -> bytes | UpstreamRefusal | UpstreamFailure:
         request = httpcore.Request(
             method,
-            httpcore.URL(scheme=self._origin.scheme, host=self._origin.host, port=self._origin.port, target=path),
-            headers=[(b"host", self._host), (b"content-length", str(len(body)).encode())],
+            self._urls[path],
+            headers=[self._host, (b"content-length", b"%d" % len(body))],
             content=body,
         )
         try:
-            with anyio.fail_after(max(0.0, timeout_s)):
-                response = await self._connection.handle_async_request(request)
-                content = await response.aread()
-                await response.aclose()
-        except (TimeoutError, httpcore.TimeoutException):
-            return UpstreamFailure(FailureKind.TIMEOUT, Execution.UNKNOWN, f"no reply within {timeout_s:.3f} s")
-        except httpcore.ConnectError as error:
-            return UpstreamFailure(FailureKind.CONNECT, Execution.NOT_RUN, str(error))
+            response = await self._connection.handle_async_request(request)
+            content = await response.aread()
+            await response.aclose()
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.ConnectionNotAvailable) as error:
             return UpstreamFailure(FailureKind.RESET, Execution.UNKNOWN, str(error) or type(error).__name__)
         if response.status == 200:
@@ -201,6 +255,15 @@
         return _refusal(response.status, content)
 
 
+def _left_ms(deadline_s: float) -> int:
+    return max(0, int((deadline_s - anyio.current_time()) * 1_000))
+
+
+def _crossed(request_id: RequestId) -> UpstreamFailure:
+    detail = f"the reply belongs to request {request_id}"
+    return UpstreamFailure(FailureKind.BAD_REPLY, Execution.UNKNOWN, detail)
+
+
 def _refusal(status: int, content: bytes) -> UpstreamRefusal | UpstreamFailure:
     try:
         error = _error_decoder.decode(content).error
@@ -216,16 +279,20 @@
     async def connect(self, address: str, timeout_s: float) -> Channel | UpstreamFailure:
         """Open a connection; the first exchange proves that the upstream answers."""
         host, _, port = address.partition(":")
-        origin = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=b"/")
-        connection = httpcore.AsyncHTTPConnection(
-            httpcore.Origin(b"http", host.encode(), int(port)), keepalive_expiry=None
-        )
-        channel = HttpChannel(connection, origin)
         with anyio.move_on_after(timeout_s):
-            outcome = await channel.status()
-            if isinstance(outcome, Status):
-                return channel
-            await channel.aclose()
-            return outcome
-        await channel.aclose()
+            try:
+                stream = await anyio.connect_tcp(host, int(port))
+            except OSError as error:
+                return UpstreamFailure(FailureKind.CONNECT, Execution.NOT_RUN, str(error))
+            origin = httpcore.Origin(b"http", host.encode(), int(port))
+            url = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=b"/")
+            channel = HttpChannel(httpcore.AsyncHTTP11Connection(origin, _Stream(stream)), url)
+            outcome: StatusOutcome | None = None
+            try:
+                outcome = await channel.status()
+            finally:
+                if not isinstance(outcome, Status):
+                    with anyio.CancelScope(shield=True):
+                        await channel.aclose()
+            return channel if isinstance(outcome, Status) else outcome
         return UpstreamFailure(FailureKind.CONNECT, Execution.NOT_RUN, f"no connection within {timeout_s:.3f} s")
--- a/hawthornbridge/replicas.py
+++ b/hawthornbridge/replicas.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from hawthornbridge.upstreams import UpstreamState
 
-__all__ = ["choose_at_random", "choose_of_two"]
+__all__ = ["choose_at_random", "choose_of_two", "choose_of_two_reported"]
 
 
 @register(Kind.REPLICA_CHOICE, "random")
@@ -24,3 +24,12 @@
         return candidates[0]
     first, second = random.sample(candidates, 2)
     return first if first.in_flight <= second.in_flight else second
+
+
+@register(Kind.REPLICA_CHOICE, "two_choices_reported")
+def choose_of_two_reported(candidates: "list[UpstreamState]") -> "UpstreamState":
+    """Draw two replicas and choose the one with the lower load per slot, as its replies and this host know it."""
+    if len(candidates) == 1:
+        return candidates[0]
+    first, second = random.sample(candidates, 2)
+    return first if first.load <= second.load else second
--- a/hawthornbridge/subrequests.py
+++ b/hawthornbridge/subrequests.py
@@ -52,6 +52,9 @@
     TIMEOUT = "timeout"
     BAD_REPLY = "bad_reply"
     ERROR = "error"
+    QUEUE_FULL = "queue_full"
+    LEAVING = "leaving"
+    COLD = "cold"
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +158,12 @@
 
 
 class Channel(Protocol):
-    """Carry one exchange at a time over one connection to an upstream."""
+    """Carry one exchange at a time over one connection to an upstream; the connection's owner bounds its time."""
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether the idle connection is still open at the upstream's side."""
+        raise NotImplementedError
 
     async def search(self, request: Search) -> SearchOutcome:
         """Ask for hits; the deadline travels with the request."""
--- /dev/null
+++ b/measure/exchange.py
@@ -0,0 +1,104 @@
+"""Measure the processor time of one exchange through a connection group."""
+
+import asyncio
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
+
+from hawthornbridge.connections import ConnectionGroup
+from hawthornbridge.ids import (
+    DomainName,
+    RequestId,
+    RouteName,
+    ServiceName,
+    ShardName,
+    SnapshotNumber,
+    UpstreamId,
+    VersionName,
+)
+from hawthornbridge.leafhttp import HttpUpstreamProtocol
+from hawthornbridge.model import Upstream
+from hawthornbridge.subrequests import Search, SearchReply
+from standins.leaf import Leaf
+
+EXCHANGES = 5_000
+WARM_UP_EXCHANGES = 500
+
+
+@contextmanager
+def leaf_thread() -> Iterator[str]:
+    """Run a fast stand-in leaf on another thread, so that its processor time is not counted; yield its address."""
+    address: list[str] = []
+    started = threading.Event()
+    stop: list[asyncio.Event] = []
+    loops: list[asyncio.AbstractEventLoop] = []
+
+    async def serve() -> None:
+        leaf = Leaf(shard="s0", service_ms=0.0)
+        await leaf.start()
+        stop.append(asyncio.Event())
+        loops.append(asyncio.get_running_loop())
+        address.append(leaf.server.address)
+        started.set()
+        await stop[0].wait()
+        await leaf.stop()
+
+    thread = threading.Thread(target=lambda: asyncio.run(serve()))
+    thread.start()
+    started.wait()
+    try:
+        yield address[0]
+    finally:
+        loops[0].call_soon_threadsafe(stop[0].set)
+        thread.join()
+
+
+async def measure(address: str, exchanges: int) -> float:
+    """Return the processor time in seconds that one exchange costs this thread."""
+    upstream = Upstream(
+        id=UpstreamId("u0"),
+        service=ServiceName("pattern-desk"),
+        shard=ShardName("s0"),
+        failure_domain=DomainName("a"),
+        version=VersionName("v1"),
+        address=address,
+        slots=2,
+        connections=25,
+    )
+    group = ConnectionGroup(upstream, 2, HttpUpstreamProtocol())
+    request = Search(
+        RequestId("q1"),
+        RouteName("lookup"),
+        ShardName("s0"),
+        SnapshotNumber(1),
+        "last",
+        10,
+        anyio.current_time() + 600,
+    )
+    async with anyio.create_task_group() as tasks:
+        group.start(tasks)
+        while not group.connected:
+            await anyio.sleep(0.01)
+        spent_s = 0.0
+        for count in (WARM_UP_EXCHANGES, exchanges):
+            started_s = time.thread_time()
+            for _ in range(count):
+                outcome = await group.search(request)
+                assert isinstance(outcome, SearchReply), outcome
+            spent_s = time.thread_time() - started_s
+        tasks.cancel_scope.cancel()
+    return spent_s / exchanges
+
+
+def main() -> None:
+    """Print the processor time of an exchange, best and median of five rounds."""
+    with leaf_thread() as address:
+        rounds = sorted(anyio.run(measure, address, EXCHANGES) for _ in range(5))
+    print(f"exchange: best {rounds[0] * 1e6:.0f} us, median {rounds[2] * 1e6:.0f} us of processor time")
+
+
+if __name__ == "__main__":
+    main()
