--- a/standins/leaf.py
+++ b/standins/leaf.py
@@ -25,6 +25,12 @@
     wrong_snapshot_share: float = 0.0
     draining: bool = False
     misleading_status: bool = False
+    status_lag_s: float = 0.0
+    shedding: bool = False
+    reset_before_work: bool = False
+    bad_json: bool = False
+    wrong_id: bool = False
+    duplicate_answers: bool = False
 
 
 @dataclass
@@ -35,6 +41,7 @@
     version: str = "v1"
     slots: int = 2
     connections: int = 25
+    connect_cost_ms: float = 0.0
     service_ms: float = 5.0
     queue_length: int = 8
     cold_capacity: int = 1
@@ -46,7 +53,7 @@
 
     def __post_init__(self) -> None:
         """Set up the counters and the server."""
-        self.server = Server(self._handle, self.connections)
+        self.server = Server(self._handle, self.connections, self.connect_cost_ms / 1_000)
         self.incarnation = time.time_ns()
         self.in_flight = 0
         self.most_in_flight = 0
@@ -55,6 +62,8 @@
         self.cold_collapses = 0
         self.executed: dict[str, int] = {}
         self.received = 0
+        self.cancels = 0
+        self._last_status: tuple[float, dict[str, Any]] | None = None
         self._waiting = 0
         self._warmed = 0
         self._slots = asyncio.Semaphore(self.slots)
@@ -87,15 +96,22 @@
             case "/v1/execute":
                 return await self._work(call.body)
             case "/v1/cancel":
+                self.cancels += 1
                 event = self._running.get(call.body["request_id"])
                 if event is not None:
                     event.set()
                 return Answer(200, {})
             case "/v1/status":
-                return Answer(200, self._status())
+                return Answer(200, self._lagging_status())
             case _:
                 return Answer(404, {})
 
+    def _lagging_status(self) -> dict[str, Any]:
+        now = time.monotonic()
+        if self._last_status is None or now - self._last_status[0] >= self.faults.status_lag_s:
+            self._last_status = (now, self._status())
+        return self._last_status[1]
+
     def _status(self) -> dict[str, Any]:
         misleading = self.faults.misleading_status
         return {
@@ -110,6 +126,10 @@
 
     async def _work(self, body: dict[str, Any]) -> Answer | Drop:
         self.received += 1
+        if self.faults.reset_before_work:
+            return Drop()
+        if self.faults.shedding:
+            return _refuse(503, "shed")
         if self.faults.draining:
             return _refuse(503, "draining")
         if "snapshot" in body and body["snapshot"] not in self.snapshots:
@@ -147,11 +167,13 @@
                 return _refuse(504, "deadline")
             if "attempt_id" in body:
                 return await self._execute(body)
+            duration = self._duration_s(body["route"])
+            left = max(0.0, deadline - time.monotonic())
             try:
-                await asyncio.wait_for(cancelled.wait(), self._duration_s(body["route"]))
-                return _refuse(499, "cancelled")
+                await asyncio.wait_for(cancelled.wait(), min(duration, left))
+                return _refuse(499, "cancelled", "unknown")
             except TimeoutError:
-                return self._reply(body)
+                return self._reply(body) if duration <= left else _refuse(504, "deadline", "unknown")
         finally:
             self._slots.release()
 
@@ -177,6 +199,8 @@
             return Answer(500, {})
         if self._random.random() < faults.drop_share:
             return Drop()
+        if faults.bad_json:
+            return Answer(200, b'{"request_id": ')
         snapshot = body["snapshot"]
         if self._random.random() < faults.wrong_snapshot_share:
             snapshot += 1
@@ -188,7 +212,7 @@
         return Answer(
             200,
             {
-                "request_id": body["request_id"],
+                "request_id": "another" if faults.wrong_id else body["request_id"],
                 "shard": self.shard,
                 "snapshot": snapshot,
                 "hits": hits[: body["limit"]],
@@ -197,6 +221,7 @@
                 "in_flight": self.in_flight,
                 "slots": self.slots,
             },
+            copies=2 if faults.duplicate_answers else 1,
         )
 
 
--- a/standins/server.py
+++ b/standins/server.py
@@ -25,10 +25,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Hold the status and JSON body to send."""
+    """Hold the status and JSON body to send; a body of bytes is sent as it is, and copies beyond one are faults."""
 
     status: int
     body: Any
+    copies: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,14 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._server.opened(transport)
+        if self._server.connect_cost_s > 0:
+            transport.pause_reading()
+            asyncio.get_running_loop().call_later(self._server.connect_cost_s, self._ready)
+
+    def _ready(self) -> None:
+        assert self._transport is not None
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         assert self._transport is not None
@@ -84,17 +93,18 @@
         if isinstance(answer, Drop):
             self._transport.abort()
             return
-        content = json.dumps(answer.body).encode()
+        content = answer.body if isinstance(answer.body, bytes) else json.dumps(answer.body).encode()
         phrase = HTTPStatus(answer.status).phrase if answer.status != 499 else "Client Closed Request"
         head = f"HTTP/1.1 {answer.status} {phrase}\r\ncontent-length: {len(content)}\r\n\r\n"
-        self._transport.write(head.encode() + content)
+        self._transport.write((head.encode() + content) * answer.copies)
 
 
 class Server:
     """Serve one stand-in on a loopback port."""
 
-    def __init__(self, handler: Handler, connection_limit: int | None = None) -> None:
+    def __init__(self, handler: Handler, connection_limit: int | None = None, connect_cost_s: float = 0.0) -> None:
         self.handler = handler
+        self.connect_cost_s = connect_cost_s
         self.port = 0
         self.most_connections = 0
         self.refused_connections = 0
