--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -25,6 +25,13 @@
 )
 
 pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture(autouse=True)
+def seeded_random():
+    random.seed(1)
+
+
 UPSTREAM = Upstream(
     id="u1", service="desk", shard="s0", failure_domain="a", version="v1", address="x", slots=2, connections=25
 )
