--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -52,6 +52,8 @@
     CLAIM_BUCKET_FULL = 905
     EXECUTION_UNKNOWN = 910
     EXECUTION_FAILED = 911
+    # 300 to 399: upstreams
+    UPSTREAM_WITHOUT_QUOTA = 301
 
 
 def emit(event: Event, **fields: Any) -> None:
