--- a/hawthornbridge/daemon.py
+++ b/hawthornbridge/daemon.py
@@ -66,17 +66,17 @@
 
 
 class _Upstreams:
-    """Add the calls that the table lacks so far: hedge candidates and cancellation."""
+    """Adapt the table of upstreams to the calls of the search coordinator."""
 
     def __init__(self, table: UpstreamTable) -> None:
         self.usable = table.usable
         self.choose = table.choose
-        self.choose_hedge = table.choose
+        self.choose_hedge = table.choose_hedge
         self.search = table.search
 
     async def cancel(self, replica: UpstreamState, request_id: RequestId) -> None:
         """Tell an upstream that nobody waits for a request any more."""
-        await replica.connections.run(lambda channel: channel.cancel(request_id))
+        replica.connections.cancel(request_id)
 
 
 def _http_server(app: object, address: str) -> uvicorn.Server:
--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -16,19 +16,31 @@
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
 
-    # 500 to 599: the platform's store
+    # 300 to 399: searches
+    SEARCH_RESTARTED = 301
+
+    # 400 to 499: upstreams
+    UPSTREAM_WITHOUT_QUOTA = 401
+
+    # 500 to 599: the store
     STORE_CIRCUIT_OPENED = 501
     STORE_CIRCUIT_CLOSED = 502
 
-    # 200 to 299: callers and admission
+    # 600 to 699: configuration
+    CONFIGURATION_ADOPTED = 601
+    CHANGE_PROPOSED = 602
+    SERVING_CHANGED = 603
+    STORE_BEHIND = 604
+    CONFIGURATION_UNREADABLE = 605
+    CONFIGURATION_COMPACTED = 606
 
-    # 300 to 399: search
-    SEARCH_RESTARTED = 301
+    # 700 to 799: peers and membership
+    PEER_LIVENESS_CHANGED = 701
+    PEER_REPLACED = 702
+    PEER_MESSAGE_REJECTED = 703
+    SEAT_CONFLICT = 704
+    HOST_LIST_UNAVAILABLE = 705
 
-    # 850 to 899: rollouts
-    ROLLOUT_CUT = 851
-    ROLLOUT_MOVED = 852
-    DECIDER_ELECTED = 853
     # 800 to 849: operators' calls and moves of failure domains
     OPERATOR_CALL = 801
     OPERATOR_UNAUTHENTICATED = 802
@@ -52,8 +64,6 @@
     CLAIM_BUCKET_FULL = 905
     EXECUTION_UNKNOWN = 910
     EXECUTION_FAILED = 911
-    # 300 to 399: upstreams
-    UPSTREAM_WITHOUT_QUOTA = 301
 
 
 def emit(event: Event, **fields: Any) -> None:
