Add messages, peers, membership, configuration and the freshness rule

Cause: hosts had no way to learn of each other or of configuration changes. Change: authenticated messages over pynng with one task per peer; heartbeats that echo sequences, so that ages are counted from a time that certainly precedes the sending; one head key with compare-and-swap, a chunked base and operation ids; a proposal is noted by a quorum before it is written, so that hosts that go on without the store know of a write whose proposer is lost; the freshness rule as a pure function; a host list plug-in with a stand-in; links, and a fleet of hosts, in memory for tests on the virtual clock.

--- /dev/null
+++ b/hawthornbridge/control.py
@@ -0,0 +1,38 @@
+"""The control part of one host: peers, membership and configuration wired together."""
+
+import random
+
+import anyio
+
+from hawthornbridge.configuration import Configuration
+from hawthornbridge.membership import HostIdentity, HostListSource, Membership
+from hawthornbridge.messages import Codec
+from hawthornbridge.peers import Links, Peers
+from hawthornbridge.store import Store
+
+__all__ = ["Control"]
+
+
+class Control:
+    """Hold and run the parts of a host that talk to other hosts and to the store's configuration."""
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        token: str,
+        links: Links,
+        store: Store,
+        known_addresses: tuple[str, ...] = (),
+        host_list: HostListSource | None = None,
+        generator: random.Random | None = None,
+    ) -> None:
+        self.peers = Peers(links, Codec(token))
+        self.membership = Membership(identity, self.peers, known_addresses, host_list, generator)
+        self.configuration = Configuration(store, self.membership, self.peers, generator)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.peers.run)
+            tasks.start_soon(self.membership.run)
+            tasks.start_soon(self.configuration.run)
--- /dev/null
+++ b/hawthornbridge/messages.py
@@ -0,0 +1,195 @@
+"""Messages between hosts, and the codec that authenticates them."""
+
+import hmac
+from typing import Any, TypeAlias
+
+import msgspec
+
+from hawthornbridge.evidence import RolloutEvidence
+from hawthornbridge.ids import (
+    DomainName,
+    Generation,
+    HostId,
+    Incarnation,
+    Seat,
+    UpstreamId,
+)
+from hawthornbridge.model import Entry
+from hawthornbridge.outcomes import Reachability
+
+__all__ = [
+    "MESSAGE_LIMIT_BYTES",
+    "PART_LIMIT_BYTES",
+    "AllowanceNotice",
+    "BaseChunk",
+    "Codec",
+    "Cut",
+    "Entries",
+    "EntriesRequest",
+    "Evidence",
+    "Heartbeat",
+    "MemberSummary",
+    "Message",
+    "MessageRejectedError",
+    "PendingChange",
+    "Proposal",
+    "ProposalSeen",
+]
+
+MESSAGE_LIMIT_BYTES = 65_536
+# Content is split into parts of this size, which leaves room for the other fields and the digest.
+PART_LIMIT_BYTES = 49_152
+# HMAC-SHA-256 truncated to 128 bits, as RFC 2104 permits.
+DIGEST_BYTES = 16
+
+
+class MessageRejectedError(Exception):
+    """Report a message that is too large, not authentic or not readable."""
+
+
+class MemberSummary(msgspec.Struct, frozen=True, array_like=True):
+    """Name a member, how long it has been silent, and the last heartbeat that arrived from it."""
+
+    host: HostId
+    incarnation: Incarnation
+    address: str
+    age_ms: int
+    sequence: int
+
+
+class PendingChange(msgspec.Struct, frozen=True, array_like=True):
+    """Name a change that was announced and whose outcome the sender does not know."""
+
+    proposer: HostId
+    generation: Generation
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Report the state of one host; store_age_ms is None while no contact with the store is known."""
+
+    host: HostId
+    incarnation: Incarnation
+    sequence: int
+    seat: Seat
+    address: str
+    caller_address: str
+    domain: DomainName
+    region: str
+    generation: Generation
+    store_age_ms: int | None
+    store_generation: Generation
+    store_state: Reachability
+    settled: bool
+    proposing: Generation
+    pending: tuple[PendingChange, ...]
+    leaving: bool
+    load: float
+    members: tuple[MemberSummary, ...]
+
+
+class Entries(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Carry consecutive configuration entries."""
+
+    host: HostId
+    entries: tuple[Entry, ...]
+
+
+class EntriesRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Ask for the configuration after a generation, or for the base being received, from this chunk on."""
+
+    host: HostId
+    address: str
+    after: Generation
+    base: Generation
+    chunk: int
+
+
+class BaseChunk(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Carry one part of the folded configuration at a generation."""
+
+    host: HostId
+    address: str
+    generation: Generation
+    index: int
+    count: int
+    data: bytes
+
+
+class Proposal(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Announce that a host is about to write a generation; sequence is that of its last heartbeat."""
+
+    host: HostId
+    incarnation: Incarnation
+    address: str
+    sequence: int
+    generation: Generation
+
+
+class ProposalSeen(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Confirm that a host has noted a proposal."""
+
+    host: HostId
+    seat: Seat
+    proposer_incarnation: Incarnation
+    generation: Generation
+
+
+class Evidence(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Carry one host's cumulative counters of a rollout; receivers join them by maximum."""
+
+    evidence: RolloutEvidence
+
+
+class Cut(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Say that a rollout's traffic is stopped, and why."""
+
+    rollout: str
+    host: HostId
+    reason: str
+
+
+class AllowanceNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Report the in-flight allowance of a cold upstream; revision orders notices of one incarnation."""
+
+    upstream: UpstreamId
+    incarnation: Incarnation
+    allowance: int
+    revision: int
+    host: HostId
+
+
+Message: TypeAlias = (
+    Heartbeat | Entries | EntriesRequest | BaseChunk | Proposal | ProposalSeen | Evidence | Cut | AllowanceNotice
+)
+
+
+class Codec:
+    """Encode messages with a digest under the shared token, and check it on the way back."""
+
+    def __init__(self, token: str) -> None:
+        self._key = token.encode()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Message)
+
+    def encode(self, message: Message) -> bytes:
+        """Return the bytes to send; raise MessageRejectedError if they are too many."""
+        payload = self._encoder.encode(message)
+        if len(payload) + DIGEST_BYTES > MESSAGE_LIMIT_BYTES:
+            raise MessageRejectedError(f"{type(message).__name__} of {len(payload)} bytes exceeds the limit")
+        return self._digest(payload) + payload
+
+    def decode(self, data: bytes) -> Message:
+        """Return the message; raise MessageRejectedError if it is too large, not authentic or malformed."""
+        if not DIGEST_BYTES < len(data) <= MESSAGE_LIMIT_BYTES:
+            raise MessageRejectedError(f"{len(data)} bytes are outside the limits")
+        payload = data[DIGEST_BYTES:]
+        if not hmac.compare_digest(data[:DIGEST_BYTES], self._digest(payload)):
+            raise MessageRejectedError("the digest does not match")
+        try:
+            message: Message = self._decoder.decode(payload)
+        except msgspec.MsgspecError as error:
+            raise MessageRejectedError(str(error)) from error
+        return message
+
+    def _digest(self, payload: bytes) -> bytes:
+        return hmac.digest(self._key, payload, "sha256")[:DIGEST_BYTES]
--- a/hawthornbridge/model.py
+++ b/hawthornbridge/model.py
@@ -335,6 +335,26 @@
         """Return whether a failure domain takes new work."""
         return self.domains[domain].state is DomainState.ACTIVE
 
+    def generation_of(self, change: Change) -> Generation:
+        """Return the generation of the entity that a change names; 0 if there is none."""
+        entity: Entity | None
+        match change:
+            case PutService(Service(name=name)) | RemoveService(name):
+                entity = self.services.get(name)
+            case PutShardMap(ShardMap(id=id)) | RemoveShardMap(id):
+                entity = self.shard_maps.get(id)
+            case PutUpstream(Upstream(id=id)) | RemoveUpstream(id):
+                entity = self.upstreams.get(id)
+            case PutFailureDomain(FailureDomain(name=name)) | RemoveFailureDomain(name):
+                entity = self.domains.get(name)
+            case PutVersion(version):
+                entity = self.versions.get(f"{version.service}:{version.name}")
+            case RemoveVersion(service, name):
+                entity = self.versions.get(f"{service}:{name}")
+            case PutRollout(rollout):
+                entity = self.rollouts.get(rollout.service)
+        return Generation(0) if entity is None else entity.generation
+
     def apply(self, entry: Entry) -> "Catalogue":
         """Return the catalogue after one more entry; raise ChangeRejectedError if it does not fit."""
         if entry.generation != self.generation + 1:
--- a/hawthornbridge/outcomes.py
+++ b/hawthornbridge/outcomes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["Execution", "Refusal", "RefusalKind"]
+__all__ = ["Execution", "Reachability", "Refusal", "RefusalKind"]
 
 
 class Execution(Enum):
@@ -14,6 +14,14 @@
     UNKNOWN = "unknown"
 
 
+class Reachability(Enum):
+    """State what a host found when it last tried to read the store."""
+
+    UNTRIED = 0
+    REACHABLE = 1
+    UNREACHABLE = 2
+
+
 class RefusalKind(Enum):
     """Name the reason for a refusal."""
 
--- /dev/null
+++ b/hawthornbridge/peers.py
@@ -0,0 +1,199 @@
+"""Links between hosts: one sending task per peer, one receiving task, authenticated messages."""
+
+from collections import deque
+from collections.abc import Callable, Collection
+from typing import Any, Protocol, TypeVar
+
+import anyio
+import pynng
+from anyio.abc import TaskGroup
+
+from hawthornbridge.events import Event, emit
+from hawthornbridge.messages import MESSAGE_LIMIT_BYTES, Codec, Heartbeat, Message, MessageRejectedError
+
+__all__ = ["Links", "Peers", "PynngLinks"]
+
+# A peer that takes nothing for this long is stuck; its socket is replaced.
+SEND_LIMIT_S = 1.0
+RECONNECT_DELAY_S = 0.25
+# 128 messages of at most 64 KB bound the memory of one outbox to 8 MB; a base is the largest content sent.
+OUTBOX_LENGTH = 128
+# Rejections are logged at most once in this time, so that a stray process cannot flood the log.
+REJECTION_LOG_INTERVAL_S = 10.0
+
+MessageT = TypeVar("MessageT")
+
+
+class Links(Protocol):
+    """Carry opaque messages between addresses; messages may be lost, late, repeated or reordered."""
+
+    async def send(self, address: str, data: bytes) -> None:
+        """Send one message; wait while the peer takes nothing."""
+
+    async def receive(self) -> bytes:
+        """Return the next message from any peer."""
+
+    def forget(self, address: str) -> None:
+        """Drop the connection to a peer and what waits in it."""
+
+
+class PynngLinks:
+    """Carry messages over pynng: a Pull0 listener, and one Push0 per peer."""
+
+    def __init__(self, listen: str) -> None:
+        # The receiver closes a connection that sends a larger message, before it reads it.
+        self._pull = pynng.Pull0(recv_max_size=MESSAGE_LIMIT_BYTES, recv_buffer_size=64)
+        self._pull.listen(f"tcp://{listen}")
+        self._pushes: dict[str, pynng.Push0] = {}
+
+    async def send(self, address: str, data: bytes) -> None:
+        """Send one message; wait while the peer takes nothing."""
+        push = self._pushes.get(address)
+        if push is None:
+            # An empty buffer makes a stuck peer visible at once and keeps old heartbeats from piling up.
+            push = pynng.Push0(send_buffer_size=0, reconnect_time_min=100, reconnect_time_max=500)
+            self._pushes[address] = push
+            push.dial(f"tcp://{address}", block=False)
+        await push.asend(data)
+
+    async def receive(self) -> bytes:
+        """Return the next message from any peer."""
+        data: bytes = await self._pull.arecv()
+        return data
+
+    def forget(self, address: str) -> None:
+        """Drop the connection to a peer and what waits in it."""
+        push = self._pushes.pop(address, None)
+        if push is not None:
+            push.close()
+
+    def close(self) -> None:
+        """Close every socket."""
+        for address in list(self._pushes):
+            self.forget(address)
+        self._pull.close()
+
+
+class _Peer:
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.scope = anyio.CancelScope()
+        self.dropped = 0
+        self._outbox: deque[tuple[bool, bytes]] = deque()
+        self._filled = anyio.Event()
+
+    def put(self, message: Message, data: bytes) -> None:
+        is_heartbeat = isinstance(message, Heartbeat)
+        if is_heartbeat:
+            # A newer heartbeat supersedes the one that still waits.
+            self._outbox = deque(item for item in self._outbox if not item[0])
+        if len(self._outbox) >= OUTBOX_LENGTH:
+            self._outbox.popleft()
+            self.dropped += 1
+        self._outbox.append((is_heartbeat, data))
+        self._filled.set()
+
+    async def next(self) -> bytes:
+        while not self._outbox:
+            self._filled = anyio.Event()
+            await self._filled.wait()
+        return self._outbox.popleft()[1]
+
+
+class Peers:
+    """Send messages to peers and hand received ones to their subscribers."""
+
+    def __init__(self, links: Links, codec: Codec) -> None:
+        self._links = links
+        self._codec = codec
+        self._peers: dict[str, _Peer] = {}
+        self._handlers: dict[type[Any], list[Callable[[Any], None]]] = {}
+        self._tasks: TaskGroup | None = None
+        self._rejection_logged_s = float("-inf")
+        self.rejected = 0
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received = 0
+        self.received_bytes = 0
+
+    @property
+    def addresses(self) -> frozenset[str]:
+        """Return the addresses of the peers that messages are published to."""
+        return frozenset(self._peers)
+
+    @property
+    def dropped(self) -> int:
+        """Return how many messages full outboxes have dropped."""
+        return sum(peer.dropped for peer in self._peers.values())
+
+    def subscribe(self, kind: type[MessageT], handler: Callable[[MessageT], None]) -> None:
+        """Call the handler with each message of this type."""
+        self._handlers.setdefault(kind, []).append(handler)
+
+    def publish(self, message: Message) -> None:
+        """Send a message to all peers; raise MessageRejectedError if it is too large."""
+        data = self._codec.encode(message)
+        for peer in self._peers.values():
+            peer.put(message, data)
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message to one peer, if there is a link to it."""
+        if address in self._peers:
+            self._peers[address].put(message, self._codec.encode(message))
+
+    def connect(self, addresses: Collection[str]) -> None:
+        """Hold links to exactly these addresses."""
+        for address in self._peers.keys() - set(addresses):
+            self._peers.pop(address).scope.cancel()
+        for address in set(addresses) - self._peers.keys():
+            peer = self._peers[address] = _Peer(address)
+            if self._tasks is not None:
+                self._tasks.start_soon(self._send_to, peer)
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            for peer in self._peers.values():
+                tasks.start_soon(self._send_to, peer)
+            await self._receive()
+
+    async def _send_to(self, peer: _Peer) -> None:
+        with peer.scope:
+            while True:
+                data = await peer.next()
+                if await self._deliver(peer.address, data):
+                    self.sent += 1
+                    self.sent_bytes += len(data)
+                else:
+                    self._links.forget(peer.address)
+                    await anyio.sleep(RECONNECT_DELAY_S)
+        self._links.forget(peer.address)
+
+    async def _deliver(self, address: str, data: bytes) -> bool:
+        try:
+            with anyio.move_on_after(SEND_LIMIT_S) as limit:
+                await self._links.send(address, data)
+        except pynng.NNGException:
+            return False
+        return not limit.cancelled_caught
+
+    async def _receive(self) -> None:
+        while True:
+            data = await self._links.receive()
+            self.received += 1
+            self.received_bytes += len(data)
+            try:
+                message = self._codec.decode(data)
+            except MessageRejectedError as error:
+                self._reject(error)
+                continue
+            for handler in self._handlers.get(type(message), ()):
+                handler(message)
+
+    def _reject(self, error: MessageRejectedError) -> None:
+        self.rejected += 1
+        now = anyio.current_time()
+        if now - self._rejection_logged_s >= REJECTION_LOG_INTERVAL_S:
+            self._rejection_logged_s = now
+            emit(Event.PEER_MESSAGE_REJECTED, detail=str(error), rejected=self.rejected)
--- /dev/null
+++ b/measure/control.py
@@ -0,0 +1,187 @@
+"""Cost of the control part of one host among nine, over pynng on loopback."""
+
+import multiprocessing
+import socket
+import sys
+import time
+from multiprocessing.connection import Connection
+
+import anyio
+import msgspec
+
+from hawthornbridge.acceptance import ChangeAccepted
+from hawthornbridge.control import Control
+from hawthornbridge.ids import DomainName, HostId, Incarnation, OperationId, Seat
+from hawthornbridge.membership import HostIdentity
+from hawthornbridge.model import FailureDomain, PutFailureDomain
+from hawthornbridge.peers import PynngLinks
+from hawthornbridge.store import Missing, ReadOutcome, WatchOutcome, WatchTimeout
+from standins.memorystore import MemoryStore
+
+HOSTS = 9
+SETTLING_S = 4.0
+IDLE_S = 20.0
+CHANGES = 100
+CHANGE_INTERVAL_S = 0.1
+
+
+class Reading(msgspec.Struct):
+    """Hold what one host has used and sent so far."""
+
+    processor_s: float
+    sent: int
+    sent_bytes: int
+    received_bytes: int
+    generation: int
+
+
+class EmptyStore(MemoryStore):
+    """Answer reads at once, so that the figures hold no cost of an HTTP client."""
+
+    async def get(self, key: object) -> ReadOutcome:
+        """Find nothing."""
+        return Missing(key)  # type: ignore[arg-type]
+
+    async def watch(self, key: object, after: object, wait_s: float) -> WatchOutcome:
+        """Wait in vain."""
+        await anyio.sleep(wait_s)
+        return WatchTimeout()
+
+
+def _free_addresses(count: int) -> list[str]:
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+    for probe in probes:
+        probe.close()
+    return addresses
+
+
+def _control(number: int, addresses: list[str], store: MemoryStore) -> Control:
+    identity = HostIdentity(
+        HostId(f"entry-{number}"),
+        Incarnation(time.time_ns()),
+        Seat(number),
+        HOSTS,
+        addresses[number],
+        addresses[number],
+        DomainName("a"),
+        "r1",
+    )
+    return Control(identity, "peers-token-00001", PynngLinks(addresses[number]), store, tuple(addresses))
+
+
+def _reading(control: Control) -> Reading:
+    peers = control.peers
+    return Reading(
+        time.process_time(), peers.sent, peers.sent_bytes, peers.received_bytes, control.configuration.generation
+    )
+
+
+def _serve(number: int, addresses: list[str], pipe: Connection) -> None:
+    async def answer(control: Control) -> None:
+        while True:
+            await anyio.sleep(0.1)
+            if pipe.poll():
+                command = pipe.recv()
+                if command == "stop":
+                    raise SystemExit
+                pipe.send(_reading(control))
+
+    async def run() -> None:
+        control = _control(number, addresses, EmptyStore())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(control.run)
+            await answer(control)
+
+    anyio.run(run)
+
+
+def _ask(pipes: list[Connection]) -> list[Reading]:
+    for pipe in pipes:
+        pipe.send("read")
+    return [pipe.recv() for pipe in pipes]
+
+
+async def _propose(control: Control) -> float:
+    started = time.process_time()
+    for number in range(CHANGES):
+        change = PutFailureDomain(FailureDomain(name=DomainName(f"d{number}")))
+        outcome = await control.configuration.propose(change, change.domain.generation, OperationId(f"op-{number}"))
+        assert isinstance(outcome, ChangeAccepted), outcome
+        await anyio.sleep(CHANGE_INTERVAL_S)
+    return time.process_time() - started
+
+
+async def _measure(addresses: list[str], pipes: list[Connection]) -> None:
+    # This process is the ninth host, with a store of its own in memory, and proposes the changes.
+    control = _control(HOSTS - 1, addresses, MemoryStore())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(control.run)
+        await anyio.sleep(SETTLING_S)
+        before = await anyio.to_thread.run_sync(_ask, pipes)
+        await anyio.sleep(IDLE_S)
+        idle = await anyio.to_thread.run_sync(_ask, pipes)
+        _print_idle(before, idle)
+        started_s = time.monotonic()
+        own_s = await _propose(control)
+        await anyio.sleep(1.0)
+        after = await anyio.to_thread.run_sync(_ask, pipes)
+        _print_changes(before, idle, after, time.monotonic() - started_s, own_s)
+        tasks.cancel_scope.cancel()
+
+
+def _print_idle(before: list[Reading], idle: list[Reading]) -> None:
+    count = len(before)
+    processor_s = sum(b.processor_s - a.processor_s for a, b in zip(before, idle, strict=True)) / count
+    sent = sum(b.sent - a.sent for a, b in zip(before, idle, strict=True)) / count
+    sent_bytes = sum(b.sent_bytes - a.sent_bytes for a, b in zip(before, idle, strict=True)) / count
+    received = sum(b.received_bytes - a.received_bytes for a, b in zip(before, idle, strict=True)) / count
+    print(f"hosts: {HOSTS}, idle for {IDLE_S:.0f} s; mean over {count} hosts, each in its own process")
+    print(f"messages sent per host: {sent / IDLE_S:.1f}/s, {sent_bytes / sent:.0f} bytes each")
+    print(
+        f"bytes per host: {sent_bytes / IDLE_S / 1_000:.2f} KB/s sent, {received / IDLE_S / 1_000:.2f} KB/s received"
+    )
+    print(f"processor time per host: {processor_s / IDLE_S:.2%} of a core")
+    print(f"processor time per heartbeat sent to or received from one peer: {processor_s / sent / 2 * 1e6:.0f} us")
+
+
+def _print_changes(
+    before: list[Reading], idle: list[Reading], after: list[Reading], duration_s: float, own_s: float
+) -> None:
+    assert all(reading.generation == CHANGES for reading in after), "a change did not arrive"
+    count = len(idle)
+    idle_s = sum(b.processor_s - a.processor_s for a, b in zip(before, idle, strict=True)) / count / IDLE_S
+    idle_bytes = sum(b.sent_bytes - a.sent_bytes for a, b in zip(before, idle, strict=True)) / count / IDLE_S
+    busy_s = sum(b.processor_s - a.processor_s for a, b in zip(idle, after, strict=True)) / count
+    busy_bytes = sum(b.sent_bytes - a.sent_bytes for a, b in zip(idle, after, strict=True)) / count
+    print(f"changes: {CHANGES} at one per {CHANGE_INTERVAL_S:.1f} s; all hosts have applied generation {CHANGES}")
+    print(f"processor time per change on another host: {(busy_s - idle_s * duration_s) / CHANGES * 1e3:.2f} ms")
+    print(f"bytes sent per change by another host: {(busy_bytes - idle_bytes * duration_s) / CHANGES:.0f}")
+    print(f"processor time per change on the proposing host, its control included: {own_s / CHANGES * 1e3:.2f} ms")
+
+
+def main() -> None:
+    """Start eight hosts, be the ninth, and print the figures."""
+    context = multiprocessing.get_context("spawn")
+    addresses = _free_addresses(HOSTS)
+    pipes, processes = [], []
+    for number in range(HOSTS - 1):
+        ours, theirs = context.Pipe()
+        process = context.Process(target=_serve, args=(number, addresses, theirs), daemon=True)
+        process.start()
+        pipes.append(ours)
+        processes.append(process)
+    try:
+        anyio.run(_measure, addresses, pipes)
+    finally:
+        for pipe in pipes:
+            pipe.send("stop")
+        for process in processes:
+            process.join(5)
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,146 @@
+"""Several hosts' control parts over in-memory links and an in-memory store, for tests on a virtual clock."""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from hawthornbridge.control import Control
+from hawthornbridge.ids import DomainName, HostId, Incarnation, Seat
+from hawthornbridge.membership import HostIdentity
+from hawthornbridge.store import Ambiguous, Applied, Key, ReadOutcome, Revision, WatchOutcome, WriteOutcome
+from standins.memorylinks import Network
+from standins.memorystore import MemoryStore, StoreFaults, StoreState
+
+__all__ = ["Fleet", "RecordingState"]
+
+TOKEN = "peers-token-00001"
+
+
+class RecordingState(StoreState):
+    """Keep every value that a key has had."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.history: list[tuple[Key, bytes]] = []
+
+    def write(self, key: Key, value: bytes | None, expected: Revision, lease: object) -> Applied:
+        """Write a key and remember the value."""
+        outcome = super().write(key, value, expected, lease)  # type: ignore[arg-type]
+        if isinstance(outcome, Applied) and value is not None:
+            self.history.append((key, value))
+        return outcome  # type: ignore[return-value]
+
+
+class _HostStore(MemoryStore):
+    """Call the store as one host; a paused host neither sends calls nor receives answers."""
+
+    def __init__(self, state: StoreState, network: Network, address: str) -> None:
+        super().__init__(state, StoreFaults())
+        self._network = network
+        self._address = address
+
+    async def get(self, key: Key) -> ReadOutcome:
+        await self._gate()
+        outcome = await super().get(key)
+        await self._gate()
+        return outcome
+
+    async def watch(self, key: Key, after: Revision, wait_s: float) -> WatchOutcome:
+        await self._gate()
+        outcome = await super().watch(key, after, wait_s)
+        await self._gate()
+        return outcome
+
+    async def compare_and_swap(self, key: Key, value: bytes, expected: Revision, lease: object = None) -> WriteOutcome:
+        await self._gate()
+        outcome = await super().compare_and_swap(key, value, expected)
+        await self._gate()
+        return outcome if isinstance(outcome, Applied) or not self.faults.unavailable else Ambiguous("cut off")
+
+    async def _gate(self) -> None:
+        while self._address in self._network.faults.paused:
+            await anyio.sleep(0.05)
+
+
+@dataclass
+class Fleet:
+    """Run hosts named h0, h1, ... at the addresses of the same names."""
+
+    tasks: TaskGroup
+    seats: int
+    seed: int = 0
+    state: StoreState = field(default_factory=RecordingState)
+
+    def __post_init__(self) -> None:
+        """Set up the network."""
+        self.network = Network(self.seed)
+        self.controls: dict[str, Control] = {}
+        self.stores: dict[str, MemoryStore] = {}
+        self._scopes: dict[str, list[anyio.CancelScope]] = {}
+        self._starts = 0
+
+    @property
+    def running(self) -> list[Control]:
+        """Return the hosts that run and are not paused."""
+        return [control for name, control in self.controls.items() if name not in self.network.faults.paused]
+
+    def start(
+        self, name: str, seat: int, address: str | None = None, known: tuple[str, ...] = ("h0", "h1")
+    ) -> Control:
+        """Start a host, as a new incarnation if it ran before."""
+        self._starts += 1
+        address = address or name
+        identity = HostIdentity(
+            HostId(name),
+            Incarnation(int(anyio.current_time() * 1e9) + self._starts),
+            Seat(seat),
+            self.seats,
+            address,
+            f"{address}:callers",
+            DomainName("a"),
+            "r1",
+        )
+        store = self.stores.setdefault(name, _HostStore(self.state, self.network, address))
+        links = self.network.open(address)
+        generator = random.Random(f"{self.seed}/{self._starts}")
+        control = Control(identity, TOKEN, links, store, known, generator=generator)
+        self.controls[name] = control
+        self._scopes[name] = []
+        self.spawn(name, control.run)
+        return control
+
+    def spawn(self, name: str, call: Callable[[], Awaitable[object]]) -> None:
+        """Run a call as part of a host, until it ends or the host is killed."""
+        scope = anyio.CancelScope()
+        self._scopes[name].append(scope)
+        self.tasks.start_soon(self._run, scope, call)
+
+    def start_all(self, count: int) -> None:
+        """Start hosts on the first seats."""
+        for seat in range(count):
+            self.start(f"h{seat}", seat)
+
+    def kill(self, name: str) -> None:
+        """Stop a host at once."""
+        self.network.faults.paused.discard(name)
+        for scope in self._scopes.pop(name):
+            scope.cancel()
+        del self.controls[name]
+
+    def restart(self, name: str) -> None:
+        """Stop a host at once and start it again on the same address."""
+        seat = self.controls[name].membership.identity.seat
+        self.kill(name)
+        self.start(name, seat)
+
+    def break_store(self, names: set[str], *, broken: bool = True) -> None:
+        """Take the store away from some hosts, or give it back."""
+        for name in names:
+            self.stores[name].faults.unavailable = broken
+
+    async def _run(self, scope: anyio.CancelScope, call: Callable[[], Awaitable[object]]) -> None:
+        with scope:
+            await call()
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,57 @@
+import pytest
+
+from hawthornbridge.evidence import EvidenceRow, RolloutEvidence, Tally, TallyKey
+from hawthornbridge.messages import (
+    MESSAGE_LIMIT_BYTES,
+    AllowanceNotice,
+    BaseChunk,
+    Codec,
+    Cut,
+    EntriesRequest,
+    Evidence,
+    MessageRejectedError,
+)
+
+CODEC = Codec("peers-token-00001")
+CUT = Cut("pattern-desk:v2:1", "h1", "failing on route lookup")
+ROW = EvidenceRow(TallyKey(0, "lookup", True), Tally(10, 1, 2))
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        CUT,
+        AllowanceNotice("u1", 5, 3, 7, "h1"),
+        EntriesRequest("h1", "127.0.0.1:1", 4, 0, 0),
+        Evidence(RolloutEvidence("r", "h1", 9, (ROW,), None)),
+    ],
+)
+def test_a_message_is_read_as_it_was_written(message):
+    """Guards against fields that are lost or swapped on the way."""
+    assert CODEC.decode(CODEC.encode(message)) == message
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"x" * 16,
+        Codec("peers-token-00002").encode(CUT),
+        CODEC.encode(CUT)[:-1],
+        CODEC.encode(CUT)[:-1] + b"\x00",
+        CODEC._digest(b"\x92\x63\x01") + b"\x92\x63\x01",
+        CODEC._digest(b"\xc1") + b"\xc1",
+        b"x" * (MESSAGE_LIMIT_BYTES + 1),
+    ],
+    ids=["empty", "digest only", "other token", "cut short", "altered", "unknown kind", "no msgpack", "too large"],
+)
+def test_what_is_no_authentic_message_is_rejected(data):
+    """Guards against messages of a stray process, and against an exception that ends the receiving task."""
+    with pytest.raises(MessageRejectedError):
+        CODEC.decode(data)
+
+
+def test_a_message_over_the_limit_is_not_sent():
+    """Guards against a message that every receiver would refuse."""
+    with pytest.raises(MessageRejectedError):
+        CODEC.encode(BaseChunk("h1", "127.0.0.1:1", 1, 0, 1, b"x" * MESSAGE_LIMIT_BYTES))
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,117 @@
+"""Contract tests of the pynng links over loopback, and of the outboxes on a virtual clock."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import pynng
+import pytest
+
+from hawthornbridge.messages import MESSAGE_LIMIT_BYTES, Codec, Cut, EntriesRequest
+from hawthornbridge.peers import OUTBOX_LENGTH, Peers, PynngLinks
+from standins.memorylinks import Network
+
+TOKEN = "peers-token-00001"
+# Generous: these tests decide by what arrives, not by when.
+LIMIT_S = 20
+
+
+@asynccontextmanager
+async def running(address, to=(), token=TOKEN):
+    links = PynngLinks(address)
+    peers = Peers(links, Codec(token))
+    peers.connect(to)
+    received = []
+    peers.subscribe(Cut, received.append)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(peers.run)
+        yield peers, received
+        tasks.cancel_scope.cancel()
+    links.close()
+
+
+async def until(condition, action=lambda: None):
+    with anyio.fail_after(LIMIT_S):
+        while not condition():
+            action()
+            await anyio.sleep(0.02)
+
+
+def cut(number):
+    return Cut(f"rollout-{number}", "h1", "slow")
+
+
+@pytest.fixture
+def addresses(free_port):
+    return [f"127.0.0.1:{free_port()}" for _ in range(3)]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_only_messages_under_the_shared_token_are_handed_over(addresses):
+    """Guards against a stray process that joins the hosts."""
+    async with (
+        running(addresses[0]) as (receiver, received),
+        running(addresses[1], [addresses[0]], "peers-token-00002") as (stray, _),
+        running(addresses[2], [addresses[0]]) as (peer, _),
+    ):
+        await until(lambda: receiver.rejected, lambda: stray.publish(cut(1)))
+        await until(lambda: received, lambda: peer.publish(cut(2)))
+        assert set(received) == {cut(2)}
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_an_oversized_message_is_refused_and_others_still_arrive(addresses):
+    """Guards against a stray sender that fills a host's memory."""
+    async with running(addresses[0]) as (receiver, received), running(addresses[1], [addresses[0]]) as (peer, _):
+        with pynng.Push0(dial=f"tcp://{addresses[0]}", send_timeout=5_000) as stray:
+            await stray.asend(b"x" * (MESSAGE_LIMIT_BYTES + 1))
+            await until(lambda: received, lambda: peer.publish(cut(1)))
+        assert receiver.received_bytes < MESSAGE_LIMIT_BYTES
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_a_peer_that_restarts_on_its_address_is_reached_again(addresses):
+    """Guards against a link that stays dead after the peer's process was replaced."""
+    async with running(addresses[1], [addresses[0]]) as (peer, _):
+        for number in range(2):
+            async with running(addresses[0]) as (_, received):
+                await until(lambda received=received: received, lambda number=number: peer.publish(cut(number)))
+                assert cut(number) in received
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_a_peer_that_does_not_listen_delays_no_other(addresses):
+    """Guards against one dead peer that holds up the messages to the rest."""
+    async with (
+        running(addresses[0]) as (_, received),
+        running(addresses[1], [addresses[2], addresses[0]]) as (peer, _),
+    ):
+        await until(lambda: received, lambda: peer.publish(cut(1)))
+
+
+@pytest.mark.anyio
+async def test_a_stuck_peer_is_bounded_and_blocks_no_other():
+    """Guards against a peer that takes nothing and so fills the memory or delays the rest."""
+    network = Network()
+    network.faults.stuck.add("stuck")
+    sender = Peers(network.open("sender"), Codec(TOKEN))
+    receiver = Peers(network.open("receiver"), Codec(TOKEN))
+    received = []
+    receiver.subscribe(Cut, received.append)
+    sender.connect({"stuck", "receiver"})
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(sender.run)
+        tasks.start_soon(receiver.run)
+        for number in range(OUTBOX_LENGTH * 2):
+            sender.publish(cut(number))
+            await anyio.sleep(0.002)
+        await anyio.sleep(0.01)
+        assert len(received) == OUTBOX_LENGTH * 2
+        assert sender.dropped >= OUTBOX_LENGTH - 4
+        sender.connect({"receiver"})
+        sender.send("stuck", EntriesRequest("h1", "sender", 0, 0, 0))
+        assert sender.addresses == {"receiver"}
+        tasks.cancel_scope.cancel()
