Keep a cancelled pynng call from ending the host's tasks, and shrink heartbeats

Cause: measure.control over real pynng showed that a host whose peers did not listen ended all its tasks without an error after the send limit of 1 s: on asyncio pynng answers a cancellation with a new CancelledError, which anyio takes for a foreign one. The same run showed 394 bytes per heartbeat, most of them for naming every member. Change: pynng calls re-raise the cancellation of the cancel scope; a contract test gives up a send and then expects another link to deliver. Heartbeats echo 8 bytes per member and name only three. The continuous check of the tests sees each adoption, and a test covers a host that hears contacts but no entries.

--- a/hawthornbridge/membership.py
+++ b/hawthornbridge/membership.py
@@ -44,8 +44,12 @@
 # A larger fleet is ordered on this many rings by hashing; a host has links to its two neighbours on each. Being a
 # neighbour is mutual, which echoes need, and rings in independent orders keep the number of hops logarithmic.
 RINGS = 6
-# Bounds the members named in one heartbeat and so its size: 32 summaries of about 45 bytes.
-NAMED_MEMBERS = 32
+# An echo takes 8 bytes, and a named member about 40. Names spread quickly enough with a few in each heartbeat; large
+# fleets have more links, name fewer members on each, and keep the names for longer.
+NAMED_MEMBERS = 3
+NAMED_MEMBERS_SPARSE = 1
+NAME_KEPT_S = 60.0
+NAME_KEPT_SPARSE_S = 1_200.0
 REMEMBERED_SEQUENCES = 64
 # The ranking of thousands of hosts takes milliseconds, so it is kept for this time.
 RANKING_S = 1.0
@@ -148,6 +152,10 @@
     return xxhash.xxh3_64_intdigest(text.encode())
 
 
+def _echo_key(address: str, incarnation: Incarnation) -> int:
+    return xxhash.xxh32_intdigest(f"{address}/{incarnation}".encode())
+
+
 def by_rendezvous(hosts: list[HostId], salt: str) -> list[HostId]:
     """Order hosts by rendezvous hashing."""
     return sorted(hosts, key=lambda host: (_hash(f"{salt}/{host}"), host), reverse=True)
@@ -159,7 +167,7 @@
     named_s: float
 
 
-_NEVER = _Named(MemberSummary(HostId(""), Incarnation(0), "", 0, 0), float("-inf"))
+_NEVER = _Named(MemberSummary(HostId(""), "", 0), float("-inf"))
 
 
 class Membership:
@@ -180,6 +188,7 @@
         self.seat_conflict: HostId | None = None
         self.sequence = 0
         self._peers = peers
+        self._echo_key = _echo_key(identity.address, identity.incarnation)
         self._known_addresses = frozenset(known_addresses)
         self._host_list = host_list
         self._random = generator or random.Random(identity.incarnation)
@@ -301,6 +310,10 @@
                 pending=report.pending,
                 leaving=self.leaving,
                 load=self.load(),
+                echoes={
+                    _echo_key(member.heartbeat.address, member.heartbeat.incarnation): member.heartbeat.sequence
+                    for member in self.live
+                },
                 members=self._summaries(now),
             )
         )
@@ -315,26 +328,22 @@
             return
         if not self._replace_address(heartbeat):
             return
-        echoed = [self._sent_s[summary.sequence] for summary in heartbeat.members if self._is_own_echo(summary)]
-        as_of_s = max(echoed, default=None)
+        echoed = self._sent_s.get(heartbeat.echoes.get(self._echo_key, 0))
+        as_of_s = echoed
         if known is not None and as_of_s is None and known.heartbeat.incarnation == heartbeat.incarnation:
             as_of_s = known.as_of_s
         member = self._members[heartbeat.host] = Member(heartbeat, now, as_of_s)
         for summary in heartbeat.members:
-            if summary.age_ms < FORGET_S * 1_000 and summary.address != self.identity.address:
+            if summary.address != self.identity.address:
                 named_s = now - summary.age_ms / 1_000
                 if named_s > self._named.get(summary.address, _NEVER).named_s:
                     self._named[summary.address] = _Named(summary, named_s)
         self._check_seat(heartbeat)
         # Reports without an echo may be old, for example those that waited while this host was paused.
-        if echoed:
+        if echoed is not None:
             for listener in self._listeners:
                 listener(member)
 
-    def _is_own_echo(self, summary: MemberSummary) -> bool:
-        own = self.identity
-        return (summary.host, summary.incarnation) == (own.host, own.incarnation) and summary.sequence in self._sent_s
-
     def _replace_address(self, heartbeat: Heartbeat) -> bool:
         for other in list(self._members.values()):
             if other.heartbeat.host == heartbeat.host or other.heartbeat.address != heartbeat.address:
@@ -365,7 +374,8 @@
                 self.seat_conflict = None
             if now - member.received_s > FORGET_S:
                 del self._members[host], self._liveness[host]
-        self._named = {key: named for key, named in self._named.items() if now - named.named_s < FORGET_S}
+        kept_s = NAME_KEPT_SPARSE_S if self.is_sparse else NAME_KEPT_S
+        self._named = {key: named for key, named in self._named.items() if now - named.named_s < kept_s}
 
     def _neighbours(self) -> frozenset[str]:
         sources = self._known_addresses | self._listed.keys()
@@ -377,9 +387,7 @@
         if addresses != self._cached_neighbours[0]:
             self._cached_neighbours = (addresses, self._ring_neighbours(addresses))
         # A host that has just started knows few others, so it hears from those that it knows.
-        newcomers = {
-            member.heartbeat.address for member in self.live if len(member.heartbeat.members) < FULL_MESH_HOSTS - 1
-        }
+        newcomers = {member.heartbeat.address for member in self.live if len(member.heartbeat.echoes) < RINGS}
         return self._cached_neighbours[1] | newcomers
 
     def _ring_neighbours(self, addresses: frozenset[str]) -> frozenset[str]:
@@ -392,24 +400,19 @@
         return frozenset(chosen)
 
     def _summaries(self, now: float) -> tuple[MemberSummary, ...]:
-        members = sorted(self._members.values(), key=lambda member: -member.received_s)[:NAMED_MEMBERS]
-        summaries = [
-            MemberSummary(
-                member.heartbeat.host,
-                member.heartbeat.incarnation,
-                member.heartbeat.address,
-                int((now - member.received_s) * 1_000),
-                member.heartbeat.sequence,
-            )
-            for member in members
+        live = [
+            MemberSummary(member.heartbeat.host, member.heartbeat.address, int((now - member.received_s) * 1_000))
+            for member in self.live
+        ]
+        known = {summary.address for summary in live}
+        named = [
+            msgspec.structs.replace(named.summary, age_ms=int((now - named.named_s) * 1_000))
+            for address, named in self._named.items()
+            if address not in known
         ]
-        # The members heard directly are echoed; a sample of the others spreads their names.
-        direct = {summary.address for summary in summaries} | {self.identity.address}
-        others = [named for address, named in self._named.items() if address not in direct]
-        for named in self._random.sample(others, min(len(others), NAMED_MEMBERS - len(summaries))):
-            age_ms = int((now - named.named_s) * 1_000)
-            summaries.append(msgspec.structs.replace(named.summary, age_ms=age_ms))
-        return tuple(summaries)
+        count = NAMED_MEMBERS_SPARSE if self.is_sparse else NAMED_MEMBERS
+        candidates = live + named
+        return tuple(self._random.sample(candidates, min(len(candidates), count)))
 
     async def _follow_host_list(self, source: HostListSource) -> None:
         while True:
--- a/hawthornbridge/messages.py
+++ b/hawthornbridge/messages.py
@@ -48,13 +48,11 @@
 
 
 class MemberSummary(msgspec.Struct, frozen=True, array_like=True):
-    """Name a member, how long it has been silent, and the last heartbeat that arrived from it."""
+    """Name a member and how long it has been silent."""
 
     host: HostId
-    incarnation: Incarnation
     address: str
     age_ms: int
-    sequence: int
 
 
 class PendingChange(msgspec.Struct, frozen=True, array_like=True):
@@ -65,7 +63,11 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Report the state of one host; store_age_ms is None while no contact with the store is known."""
+    """Report the state of one host.
+
+    store_age_ms is None while no contact with the store is known. echoes holds the sequence of the last heartbeat that
+    arrived from each process, under its echo key.
+    """
 
     host: HostId
     incarnation: Incarnation
@@ -84,6 +86,7 @@
     pending: tuple[PendingChange, ...]
     leaving: bool
     load: float
+    echoes: dict[int, int]
     members: tuple[MemberSummary, ...]
 
 
--- a/hawthornbridge/peers.py
+++ b/hawthornbridge/peers.py
@@ -1,7 +1,8 @@
 """Links between hosts: one sending task per peer, one receiving task, authenticated messages."""
 
+import asyncio
 from collections import deque
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any, Protocol, TypeVar
 
 import anyio
@@ -22,6 +23,7 @@
 REJECTION_LOG_INTERVAL_S = 10.0
 
 MessageT = TypeVar("MessageT")
+ResultT = TypeVar("ResultT")
 
 
 class Links(Protocol):
@@ -54,12 +56,11 @@
             push = pynng.Push0(send_buffer_size=0, reconnect_time_min=100, reconnect_time_max=500)
             self._pushes[address] = push
             push.dial(f"tcp://{address}", block=False)
-        await push.asend(data)
+        await _under_scopes(push.asend(data))
 
     async def receive(self) -> bytes:
         """Return the next message from any peer."""
-        data: bytes = await self._pull.arecv()
-        return data
+        return await _under_scopes(self._pull.arecv())
 
     def forget(self, address: str) -> None:
         """Drop the connection to a peer and what waits in it."""
@@ -74,6 +75,19 @@
         self._pull.close()
 
 
+async def _under_scopes(call: Awaitable[ResultT]) -> ResultT:
+    """Await a pynng call so that cancel scopes of anyio recognize their own cancellation.
+
+    On asyncio, pynng answers a cancellation with a new CancelledError. A cancel scope takes it for a foreign one and
+    lets it end the whole task group without an error.
+    """
+    try:
+        return await call
+    except asyncio.CancelledError:
+        await anyio.lowlevel.checkpoint_if_cancelled()
+        raise
+
+
 class _Peer:
     def __init__(self, address: str) -> None:
         self.address = address
@@ -111,6 +125,7 @@
         self._tasks: TaskGroup | None = None
         self._rejection_logged_s = float("-inf")
         self.rejected = 0
+        self.failed = 0
         self.sent = 0
         self.sent_bytes = 0
         self.received = 0
@@ -166,6 +181,7 @@
                     self.sent += 1
                     self.sent_bytes += len(data)
                 else:
+                    self.failed += 1
                     self._links.forget(peer.address)
                     await anyio.sleep(RECONNECT_DELAY_S)
         self._links.forget(peer.address)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -20,6 +20,7 @@
 from hawthornbridge.confighead import HEAD_KEY, Head
 from hawthornbridge.freshness import Fresh
 from hawthornbridge.ids import DomainName, Generation, OperationId
+from hawthornbridge.messages import Entries
 from hawthornbridge.model import Catalogue, FailureDomain, PutFailureDomain, RemoveFailureDomain
 from hawthornbridge.store import Found
 from standins.fleet import Fleet
@@ -58,6 +59,7 @@
         self.refused = set()
         self._folds = [Catalogue()]
         self._highest = {}
+        self._violations = []
 
     def fold(self, generation):
         while len(self._folds) <= generation:
@@ -66,16 +68,23 @@
 
     def now(self):
         now = anyio.current_time()
+        assert not self._violations
         for control in self.fleet.running:
             generation = control.configuration.generation
-            assert generation >= self._highest.get(control, 0), "a host went back"
-            self._highest[control] = generation
+            if control not in self._highest:
+                self._highest[control] = generation
+                control.configuration.listen(partial(self._adopted, control))
             assert control.configuration.catalogue == self.fold(generation), "a host holds what the store never held"
             if control.configuration.may_serve().serves:
                 for accepted, accepted_s in self.accepted:
                     lag_s = now - accepted_s
                     assert generation >= accepted or lag_s <= LAG_S, f"{control.membership.identity.host} lags {lag_s}"
 
+    def _adopted(self, control, catalogue):
+        if catalogue.generation <= self._highest[control]:
+            self._violations.append(f"{control.membership.identity.host} went back to {catalogue.generation}")
+        self._highest[control] = catalogue.generation
+
     async def run(self):
         while True:
             self.now()
@@ -100,6 +109,7 @@
     def finish(self):
         head = max(history_of(self.fleet), default=0)
         operations = {entry.operation_id for entry in history_of(self.fleet).values()}
+        assert not self._violations
         assert not self.refused & operations, "a refused change is in the store"
         for control in self.fleet.running:
             assert control.configuration.generation == head, "a connected host has not converged"
@@ -362,6 +372,18 @@
     assert isinstance(await check.propose("h1", 1, 2), ChangeNotAccepted)
 
 
+@scenario
+async def test_a_host_that_lacks_entries_is_not_fresh_by_its_peers(fleet, check):
+    """Guards against a host that hears recent contacts with the store but not what was read there."""
+    fleet.break_store({"h4"})
+    host = fleet.controls["h4"]
+    host.peers._handlers.pop(Entries)
+    assert isinstance(await check.propose("h0", 1, 1), ChangeAccepted)
+    await anyio.sleep(LAG_S)
+    assert host.configuration.generation == 1
+    assert not host.configuration.may_serve().serves
+
+
 @scenario
 async def test_an_accepted_change_reaches_all_at_once_though_the_store_goes_down(fleet, check):
     """Guards against dissemination that needs the store after acceptance."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -191,7 +191,7 @@
         for incarnation, sequence in generator.sample(sent * 2, len(sent) * 2):
             membership._receive(
                 Heartbeat("h1", incarnation, sequence, 1, "h1", "c", "a", "r1", 0, None, 0, Reachability.REACHABLE,
-                          False, 0, (), False, 0.0, ())
+                          False, 0, (), False, 0.0, {}, ())
             )  # fmt: skip
         last = membership.members["h1"].heartbeat
         assert (last.incarnation, last.sequence) == max(sent)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -92,6 +92,21 @@
         await until(lambda: received, lambda: peer.publish(cut(1)))
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_a_send_that_is_given_up_ends_nothing_else(addresses):
+    """Guards against a cancelled pynng call that ends every task of the host without an error."""
+    async with (
+        running(addresses[0]) as (_, received),
+        running(addresses[1], [addresses[2]]) as (peer, _),
+    ):
+        await until(lambda: peer.failed, lambda: peer.publish(cut(1)))
+        peer.publish(cut(2))
+        await anyio.sleep(0.1)
+        peer.connect([addresses[0]])
+        await until(lambda: received, lambda: peer.publish(cut(3)))
+
+
 @pytest.mark.anyio
 async def test_a_stuck_peer_is_bounded_and_blocks_no_other():
     """Guards against a peer that takes nothing and so fills the memory or delays the rest."""
