--- a/hawthornbridge/callers.py
+++ b/hawthornbridge/callers.py
@@ -1,26 +1,34 @@
 """Caller interface over HTTP/1.1 and JSON."""
 
+import re
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Annotated, Any, Protocol, TypeAlias, TypeVar
 
 import anyio
 import msgspec
 
+from hawthornbridge.events import Event, emit
 from hawthornbridge.ids import CallerId, ClassName, IdempotencyKey, RequestId, RouteName, ServiceName
 from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
 from hawthornbridge.registry import Kind, register
 from hawthornbridge.requests import ExecuteAnswer, ExecuteRequest, SearchAnswer, SearchRequest
 from hawthornbridge.settings import LimitSettings
 
-__all__ = ["CallerApp", "CallerService"]
+__all__ = ["ASGIApp", "CallerApp", "CallerService", "Message", "Receive", "Scope", "Send", "send_json"]
 
 Scope: TypeAlias = MutableMapping[str, Any]
 Message: TypeAlias = MutableMapping[str, Any]
 Receive: TypeAlias = Callable[[], Awaitable[Message]]
 Send: TypeAlias = Callable[[Message], Awaitable[None]]
+ASGIApp: TypeAlias = Callable[[Scope, Receive, Send], Awaitable[None]]
 Name: TypeAlias = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+# A longer deadline is allowed, but is cut to the host's longest.
+Deadline: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=2**31)]
 BodyT = TypeVar("BodyT")
 
+# How msgspec names a field that is missing or unknown at the top of an object.
+FIELD_IN_MESSAGE = re.compile(r"field `([^`]+)`")
+
 STATUS_OF_KIND = {
     RefusalKind.BAD_REQUEST: 400,
     RefusalKind.UNKNOWN_SERVICE: 404,
@@ -45,7 +53,7 @@
     class_name: Name = msgspec.field(name="class", default="default")
     caller: Annotated[str, msgspec.Meta(max_length=128)] = ""
     limit: Annotated[int, msgspec.Meta(ge=1, le=1_000)] = 20
-    deadline_ms: Annotated[int, msgspec.Meta(ge=1, le=60_000)] = 120
+    deadline_ms: Deadline | None = None
 
 
 class _ExecuteBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -56,7 +64,7 @@
     request_id: Name
     class_name: Name = msgspec.field(name="class", default="default")
     caller: Annotated[str, msgspec.Meta(max_length=128)] = ""
-    deadline_ms: Annotated[int, msgspec.Meta(ge=1, le=60_000)] = 1_000
+    deadline_ms: Deadline | None = None
 
 
 class CallerService(Protocol):
@@ -71,6 +79,9 @@
     def addresses(self) -> list[str]:
         """Return the entry addresses that callers should use."""
 
+    def deadline_ms(self, service: ServiceName) -> int:
+        """Return the deadline of requests to a service that name none."""
+
 
 @register(Kind.CALLER_INTERFACE, "http_json")
 class CallerApp:
@@ -85,40 +96,50 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request."""
+        try:
+            await self._respond(scope, receive, send)
+        except Exception as error:
+            emit(Event.CALLER_REQUEST_FAILED, path=scope["path"], error=repr(error))
+            raise
+
+    async def _respond(self, scope: Scope, receive: Receive, send: Send) -> None:
         match (scope["method"], scope["path"]):
             case ("GET", "/v1/addresses"):
                 body = {"addresses": self._service.addresses(), "valid_ms": self._address_valid_ms}
-                await _send_json(send, 200, body)
+                await send_json(send, 200, body)
             case ("POST", "/v1/search"):
                 await self._search(receive, send)
             case ("POST", "/v1/execute"):
                 await self._execute(receive, send)
             case _:
-                await _send_refusal(send, Refusal(RefusalKind.BAD_REQUEST, Execution.NOT_RUN, "no such path"), 404)
+                await _send_refusal(
+                    send, Refusal(RefusalKind.BAD_REQUEST, Execution.NOT_RUN, "no such path"), 404, closing=True
+                )
 
     async def _search(self, receive: Receive, send: Send) -> None:
         started_s = anyio.current_time()
         body = await self._read(receive, self._search_decoder)
         if isinstance(body, Refusal):
-            await _send_refusal(send, body)
+            await _send_refusal(send, body, closing=True)
             return
-        outcome = await self._service.search(
-            SearchRequest(
-                request_id=RequestId(body.request_id),
-                service=ServiceName(body.service),
-                route=RouteName(body.route),
-                class_name=ClassName(body.class_name),
-                caller=CallerId(body.caller),
-                query=body.query,
-                limit=body.limit,
-                deadline_s=started_s + body.deadline_ms / 1_000,
-            )
+        request = SearchRequest(
+            request_id=RequestId(body.request_id),
+            service=ServiceName(body.service),
+            route=RouteName(body.route),
+            class_name=ClassName(body.class_name),
+            caller=CallerId(body.caller),
+            query=body.query,
+            limit=body.limit,
+            deadline_s=started_s + self._deadline_s(ServiceName(body.service), body.deadline_ms),
         )
+        outcome = await self._unless_disconnected(receive, request)
+        if outcome is None:
+            return
         if isinstance(outcome, Refusal):
             await _send_refusal(send, outcome)
             return
         coverage = outcome.coverage
-        await _send_json(
+        await send_json(
             send,
             200,
             {
@@ -139,7 +160,7 @@
         started_s = anyio.current_time()
         body = await self._read(receive, self._execute_decoder)
         if isinstance(body, Refusal):
-            await _send_refusal(send, body)
+            await _send_refusal(send, body, closing=True)
             return
         outcome = await self._service.execute(
             ExecuteRequest(
@@ -150,7 +171,7 @@
                 caller=CallerId(body.caller),
                 idempotency_key=IdempotencyKey(body.idempotency_key),
                 payload=body.payload,
-                deadline_s=started_s + body.deadline_ms / 1_000,
+                deadline_s=started_s + self._deadline_s(ServiceName(body.service), body.deadline_ms),
             )
         )
         if isinstance(outcome, Refusal):
@@ -162,7 +183,26 @@
             "result": outcome.result,
             "repeated": outcome.repeated,
         }
-        await _send_json(send, 200, answer)
+        await send_json(send, 200, answer)
+
+    def _deadline_s(self, service: ServiceName, asked_ms: int | None) -> float:
+        wanted_ms = asked_ms if asked_ms is not None else self._service.deadline_ms(service)
+        return min(wanted_ms, self._limits.deadline_ms) / 1_000
+
+    async def _unless_disconnected(self, receive: Receive, request: SearchRequest) -> SearchAnswer | Refusal | None:
+        """Answer a search, or abandon it and return None if its caller disconnects."""
+        outcome: SearchAnswer | Refusal | None = None
+        async with anyio.create_task_group() as tasks:
+
+            async def watch() -> None:
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch)
+            outcome = await self._service.search(request)
+            tasks.cancel_scope.cancel()
+        return outcome
 
     async def _read(self, receive: Receive, decoder: "msgspec.json.Decoder[BodyT]") -> BodyT | Refusal:
         content = bytearray()
@@ -171,6 +211,8 @@
                 more = True
                 while more:
                     message = await receive()
+                    if message["type"] == "http.disconnect":
+                        return Refusal(RefusalKind.BAD_REQUEST, Execution.NOT_RUN, "the caller disconnected", "body")
                     content += message.get("body", b"")
                     more = message.get("more_body", False)
                     if len(content) > self._limits.body_bytes:
@@ -182,13 +224,21 @@
         try:
             return decoder.decode(bytes(content))
         except msgspec.ValidationError as error:
-            text, _, path = str(error).partition(" - at `$.")
-            return Refusal(RefusalKind.BAD_REQUEST, Execution.NOT_RUN, text, path.rstrip("`") or "body")
-        except msgspec.DecodeError as error:
+            return _invalid(str(error))
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return Refusal(RefusalKind.BAD_REQUEST, Execution.NOT_RUN, str(error), "body")
+        except RecursionError:
+            return Refusal(RefusalKind.BAD_REQUEST, Execution.NOT_RUN, "nested too deeply", "body")
+
+
+def _invalid(message: str) -> Refusal:
+    text, _, path = message.partition(" - at `$")
+    named = FIELD_IN_MESSAGE.search(text)
+    field = path.strip(".`") or (named.group(1) if named else "body")
+    return Refusal(RefusalKind.BAD_REQUEST, Execution.NOT_RUN, text, field)
 
 
-async def _send_refusal(send: Send, refusal: Refusal, status: int | None = None) -> None:
+async def _send_refusal(send: Send, refusal: Refusal, status: int | None = None, *, closing: bool = False) -> None:
     body = {
         "error": {
             "kind": refusal.kind.value,
@@ -197,11 +247,14 @@
             "field": refusal.field,
         }
     }
-    await _send_json(send, status or STATUS_OF_KIND.get(refusal.kind, DEFAULT_STATUS), body)
+    await send_json(send, status or STATUS_OF_KIND.get(refusal.kind, DEFAULT_STATUS), body, closing=closing)
 
 
-async def _send_json(send: Send, status: int, body: object) -> None:
+async def send_json(send: Send, status: int, body: object, *, closing: bool = False) -> None:
+    """Send a whole JSON answer; closing ends the connection, for requests that were not read to their end."""
     content = msgspec.json.encode(body)
     headers = [(b"content-type", b"application/json"), (b"content-length", str(len(content)).encode())]
+    if closing:
+        headers.append((b"connection", b"close"))
     await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": content})
--- a/hawthornbridge/daemon.py
+++ b/hawthornbridge/daemon.py
@@ -1,5 +1,7 @@
 """The daemon: wires the parts of one host together and runs them."""
 
+import random
+import signal
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -7,91 +9,115 @@
 
 import anyio
 import cappa
-import uvicorn
 
 # Imported for their registration as plug-ins.
-from hawthornbridge import callers, leafhttp, replicas  # noqa: F401
+from hawthornbridge import admission, callers, hedging, leafhttp, replicas  # noqa: F401
+from hawthornbridge.addresses import MemberView, choose_addresses
 from hawthornbridge.events import Event, emit
-from hawthornbridge.ids import RequestId
+from hawthornbridge.ids import ServiceName
+from hawthornbridge.listeners import Listener
+from hawthornbridge.metrics import Metrics, ProbeApp
 from hawthornbridge.model import Catalogue
-from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
+from hawthornbridge.outcomes import Refusal
+from hawthornbridge.queries import QueryPath
 from hawthornbridge.registry import Kind, lookup
 from hawthornbridge.requests import ExecuteAnswer, ExecuteRequest, SearchAnswer, SearchRequest
 from hawthornbridge.search import Searcher
 from hawthornbridge.settings import Settings, SettingsError, load
-from hawthornbridge.upstreams import UpstreamState, UpstreamTable
+from hawthornbridge.stopping import Stop
+from hawthornbridge.upstreams import UpstreamTable
 
 __all__ = ["Daemon", "main"]
 
 
+class _Table(UpstreamTable):
+    """Hedge to any usable replica; to be dropped once the table tells cold replicas apart by itself."""
+
+    choose_hedge = UpstreamTable.choose
+
+
 class Daemon:
     """Run one host: its listeners, its upstream connections and its control tasks."""
 
     def __init__(self, settings: Settings, catalogue: Catalogue) -> None:
         self._settings = settings
         self._catalogue = catalogue
-        plugins = settings.plugins
+        plugins, limits = settings.plugins, settings.limits
         protocol = lookup(Kind.UPSTREAM_PROTOCOL, plugins.upstream_protocol)()
         choice = lookup(Kind.REPLICA_CHOICE, plugins.replica_choice)
-        self._table = UpstreamTable(protocol, choice, settings.host.seats)
-        limits = settings.limits
-        hedging = lookup(Kind.HEDGING, plugins.hedging)(limits.hedge_share, limits.retry_share)
-        self._searcher = Searcher(_Upstreams(self._table), lambda: self._catalogue, hedging)
+        self._metrics = Metrics()
+        self._table = _Table(protocol, choice, settings.host.seats)
+        hedge_policy = lookup(Kind.HEDGING, plugins.hedging)(limits.hedge_share, limits.retry_share)
+        searcher = Searcher(self._table, self._present, hedge_policy, metrics=self._metrics)
+        self._admission = lookup(Kind.ADMISSION, plugins.admission)(limits.concurrent_queries)
+        self._queries = QueryPath(self._present, self._admission, searcher, self._metrics)
+        self._stop = Stop(settings.address_valid_ms / 1_000)
+        self._random = random.Random()
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._stop.leaving
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled."""
-        interface = lookup(Kind.CALLER_INTERFACE, self._settings.plugins.caller_interface)
-        app = interface(self, self._settings.limits, self._settings.address_valid_ms)
-        server = _http_server(app, self._settings.listeners.callers)
+        """Serve until a planned stop is complete."""
+        settings = self._settings
+        interface = lookup(Kind.CALLER_INTERFACE, settings.plugins.caller_interface)
+        callers_app = interface(self, settings.limits, settings.address_valid_ms)
+        entry = Listener(callers_app, settings.listeners.callers, settings.limits)
+        probes = ProbeApp(self._metrics, lambda: not self.leaving)
+        operators = Listener(probes, settings.listeners.operators, settings.limits)
         async with anyio.create_task_group() as tasks:
             self._table.apply(self._catalogue, tasks)
-            tasks.start_soon(self._searcher.run)
-            tasks.start_soon(server.serve)
-            while not server.started:
-                await anyio.sleep(0.01)
-            emit(Event.DAEMON_STARTED, host=self._settings.host.id)
+            await tasks.start(operators.run)
+            await tasks.start(entry.run)
+            emit(Event.DAEMON_STARTED, host=settings.host.id)
             task_status.started()
+            cut = await self._stop.run(entry, leave=entry.close_after_answers)
+            # Operators may watch the stop until its end.
+            await operators.drain()
+            tasks.cancel_scope.cancel()
+        emit(Event.DAEMON_STOPPED, host=settings.host.id, cut=cut)
+
+    def stop(self) -> None:
+        """Begin a planned stop, or shorten it if it has begun."""
+        self._stop.ask()
 
     async def search(self, request: SearchRequest) -> SearchAnswer | Refusal:
         """Answer a search."""
-        return await self._searcher.search(request)
+        return await self._queries.search(request)
 
     async def execute(self, request: ExecuteRequest) -> ExecuteAnswer | Refusal:
-        """Refuse a non-idempotent request: the store is not connected yet."""
-        return Refusal(RefusalKind.STORE_UNAVAILABLE, Execution.NOT_RUN, "no store")
+        """Run a non-idempotent request at most once."""
+        return await self._queries.execute(request)
+
+    def deadline_ms(self, service: ServiceName) -> int:
+        """Return the deadline of requests to a service that name none."""
+        return self._queries.deadline_ms(service)
 
     def addresses(self) -> list[str]:
         """Return the entry addresses that callers should use."""
-        return [self._settings.listeners.callers]
-
+        host = self._settings.host
+        address = self._settings.listeners.callers
+        own = MemberView(address, host.failure_domain, self.leaving, self._admission.load, 0.0)
+        # An answer given while leaving would be valid beyond the stop, so not even the last resort applies here.
+        return [] if self.leaving else choose_addresses([own], self._random)
 
-class _Upstreams:
-    """Add the calls that the table lacks so far: hedge candidates and cancellation."""
+    def _present(self) -> Catalogue:
+        return self._catalogue
 
-    def __init__(self, table: UpstreamTable) -> None:
-        self.usable = table.usable
-        self.choose = table.choose
-        self.choose_hedge = table.choose
-        self.search = table.search
 
-    async def cancel(self, replica: UpstreamState, request_id: RequestId) -> None:
-        """Tell an upstream that nobody waits for a request any more."""
-        await replica.connections.run(lambda channel: channel.cancel(request_id))
+async def _run_until_stopped(daemon: Daemon) -> None:
+    async with anyio.create_task_group() as tasks:
 
+        async def watch_signals() -> None:
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                async for _ in signals:
+                    daemon.stop()
 
-def _http_server(app: object, address: str) -> uvicorn.Server:
-    host, _, port = address.partition(":")
-    config = uvicorn.Config(
-        app,  # type: ignore[arg-type]
-        host=host,
-        port=int(port),
-        loop="asyncio",
-        http="httptools",
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-    )
-    return uvicorn.Server(config)
+        tasks.start_soon(watch_signals)
+        await daemon.run()
+        tasks.cancel_scope.cancel()
 
 
 @dataclass
@@ -115,7 +141,7 @@
     if command.check is not None:
         print(f"{path}: settings are valid")
         return
-    anyio.run(Daemon(settings, Catalogue()).run)
+    anyio.run(_run_until_stopped, Daemon(settings, Catalogue()))
 
 
 if __name__ == "__main__":
--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -15,8 +15,11 @@
     DAEMON_STARTED = 101
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
+    DAEMON_STOP_SHORTENED = 104
+    DAEMON_REQUESTS_CUT = 105
 
     # 200 to 299: callers and admission
+    CALLER_REQUEST_FAILED = 201
 
     # 300 to 399: search
     SEARCH_RESTARTED = 301
--- /dev/null
+++ b/hawthornbridge/listeners.py
@@ -0,0 +1,193 @@
+"""HTTP listeners: uvicorn with limits on request heads and with a drain that cuts off no request."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import anyio
+import msgspec
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from hawthornbridge.callers import ASGIApp, Message, Receive, Scope, Send
+from hawthornbridge.outcomes import Execution, RefusalKind
+from hawthornbridge.settings import LimitSettings
+
+__all__ = ["Listener"]
+
+POLL_S = 0.01
+# Longer than the time between two requests of a busy caller, so that it seldom has to connect anew.
+KEEP_ALIVE_S = 15
+
+
+class _HeadTooLongError(Exception):
+    """Leave the parser, which has no limit of its own."""
+
+
+class _BoundedProtocol(HttpToolsProtocol):
+    """Bound the size of a request's head and the time to read it; uvicorn's httptools protocol bounds neither."""
+
+    limits: LimitSettings
+    _reading_head = False
+    _head_bytes = 0
+    _closing = False
+    _refused: bytes | None = None
+    _timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        super().connection_made(transport)
+        self._arm()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._disarm()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if self._refused is not None:
+            return
+        if self.cycle is None or self.cycle.response_complete:
+            self._arm()
+        super().data_received(data)
+        if self._reading_head and self._refused is None:
+            self._head_bytes += len(data)
+            if self._head_bytes > self.limits.header_bytes:
+                self._refuse_long_head()
+
+    def on_message_begin(self) -> None:
+        self._reading_head = True
+        self._head_bytes = 0
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        self._reading_head = False
+        self._disarm()
+        size = len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
+        if size > self.limits.header_bytes:
+            raise _HeadTooLongError
+        super().on_headers_complete()
+        if self._closing:
+            self.cycle.keep_alive = False
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer input that the parser rejects; a head that is too long is named as such."""
+        size = len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers or ())
+        if size > self.limits.header_bytes:
+            self._refuse_long_head()
+        else:
+            self._refuse(400, "not an HTTP/1.1 request", "head")
+
+    def shutdown(self) -> None:
+        """Close the connection, but only after a request whose head has begun to arrive is answered."""
+        self._closing = True
+        if not self._reading_head:
+            super().shutdown()
+
+    def _arm(self) -> None:
+        if self._timer is None:
+            self._timer = self.loop.call_later(self.limits.read_ms / 1_000, self._head_overdue)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _head_overdue(self) -> None:
+        self._timer = None
+        if not self._reading_head:
+            self.transport.close()
+            return
+        self._refuse(408, f"not read within {self.limits.read_ms} ms", "headers")
+
+    def _refuse_long_head(self) -> None:
+        self._refuse(431, f"more than {self.limits.header_bytes} bytes", "headers")
+
+    def _refuse(self, status: int, detail: str, field: str) -> None:
+        error = {"kind": RefusalKind.BAD_REQUEST.value, "execution": Execution.NOT_RUN.value}
+        self._refused = msgspec.json.encode({"error": {**error, "detail": detail, "field": field}})
+        self._disarm()
+        head = f"HTTP/1.1 {status} Refused\r\ncontent-type: application/json\r\nconnection: close\r\n"
+        self.transport.write(head.encode() + f"content-length: {len(self._refused)}\r\n\r\n".encode() + self._refused)
+        self.transport.close()
+
+
+class _Server(uvicorn.Server):
+    """Leave signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no handlers."""
+        yield
+
+
+class Listener:
+    """Serve one ASGI application on one address until it is drained."""
+
+    def __init__(self, app: ASGIApp, address: str, limits: LimitSettings) -> None:
+        self._app = app
+        host, _, port = address.partition(":")
+        self._address = (host, int(port))
+        protocol = type("BoundedProtocol", (_BoundedProtocol,), {"limits": limits})
+        config = uvicorn.Config(
+            self._serve_request,
+            interface="asgi3",
+            loop="asyncio",
+            http=protocol,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            proxy_headers=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+        )
+        self._server = _Server(config)
+        self._closing = False
+        self._stopped = anyio.Event()
+        self.in_progress = 0
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Listen and serve; return once the listener is drained."""
+        with socket.socket() as listening:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listening.bind(self._address)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._run_server, listening)
+                while not self._server.started:
+                    await anyio.sleep(POLL_S)
+                task_status.started()
+        self._stopped.set()
+
+    def close_after_answers(self) -> None:
+        """Ask callers to leave: from now on every answer ends its connection."""
+        self._closing = True
+
+    async def drain(self) -> None:
+        """Accept nothing more, and return once every request in progress is answered."""
+        self._closing = True
+        self._server.should_exit = True
+        await self._stopped.wait()
+
+    def abort(self) -> int:
+        """Cut off what is in progress and return the number of requests cut."""
+        self._server.force_exit = True
+        for task in list(self._server.server_state.tasks):
+            task.cancel()
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
+        return self.in_progress
+
+    async def _run_server(self, listening: socket.socket) -> None:
+        await self._server.serve(sockets=[listening])
+
+    async def _serve_request(self, scope: Scope, receive: Receive, send: Send) -> None:
+        async def send_closing(message: Message) -> None:
+            if self._closing and message["type"] == "http.response.start":
+                message = {**message, "headers": [*message["headers"], (b"connection", b"close")]}
+            await send(message)
+
+        self.in_progress += 1
+        try:
+            await self._app(scope, receive, send_closing)
+        finally:
+            self.in_progress -= 1
--- a/hawthornbridge/metrics.py
+++ b/hawthornbridge/metrics.py
@@ -1,11 +1,16 @@
 """Metrics in the form of prometheus_client, with bounded label sets."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from collections.abc import Callable
 
-__all__ = ["Metrics"]
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, Counter, Histogram, generate_latest
+
+from hawthornbridge.callers import ASGIApp, Receive, Scope, Send
+
+__all__ = ["Metrics", "ProbeApp"]
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.16, 0.25, 0.5, 1.0, 2.5)
 COVERAGE_BUCKETS = (0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999, 1.0)
+EXTRA_BUCKETS = (0.0, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0)
 
 
 class Metrics:
@@ -35,12 +40,47 @@
             buckets=COVERAGE_BUCKETS,
             registry=self.registry,
         )
+        self.extra = Histogram(
+            "hawthornbridge_extra_load_ratio",
+            "Hedges and retries of a query over the shards of its map",
+            labels,
+            buckets=EXTRA_BUCKETS,
+            registry=self.registry,
+        )
         self.sub_requests = Counter(
             "hawthornbridge_sub_requests", "Sub-requests sent", ("service", "purpose"), registry=self.registry
         )
-        self.cancels_dropped = Counter(
-            "hawthornbridge_cancels_dropped", "Cancel calls left out because too many wait", registry=self.registry
-        )
         self.refusals = Counter(
             "hawthornbridge_refusals", "Refused requests", ("service", "class", "kind"), registry=self.registry
         )
+
+
+class ProbeApp:
+    """Answer /healthz, /readyz and /metrics, and pass every other request on to the operators' application."""
+
+    def __init__(self, metrics: Metrics, is_ready: Callable[[], bool], operators: ASGIApp | None = None) -> None:
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._operators = operators
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request."""
+        match (scope["method"], scope["path"]):
+            case ("GET", "/healthz"):
+                await _send_text(send, 200, b"ok\n")
+            case ("GET", "/readyz") if self._is_ready():
+                await _send_text(send, 200, b"ready\n")
+            case ("GET", "/readyz"):
+                await _send_text(send, 503, b"not ready\n")
+            case ("GET", "/metrics"):
+                await _send_text(send, 200, generate_latest(self._metrics.registry), CONTENT_TYPE_LATEST)
+            case _ if self._operators is not None:
+                await self._operators(scope, receive, send)
+            case _:
+                await _send_text(send, 404, b"no such path\n")
+
+
+async def _send_text(send: Send, status: int, content: bytes, kind: str = "text/plain; charset=utf-8") -> None:
+    headers = [(b"content-type", kind.encode()), (b"content-length", str(len(content)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": content})
--- /dev/null
+++ b/hawthornbridge/queries.py
@@ -0,0 +1,123 @@
+"""The way of one request through the host: checks, admission, work, metrics."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+
+from hawthornbridge.admission import AdmissionPolicy, Demand, Ticket
+from hawthornbridge.ids import ServiceName
+from hawthornbridge.metrics import Metrics
+from hawthornbridge.model import Catalogue
+from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
+from hawthornbridge.requests import ExecuteAnswer, ExecuteRequest, SearchAnswer, SearchRequest
+from hawthornbridge.search import Searcher
+
+__all__ = ["QueryPath"]
+
+# Deadline of requests to services that are not configured, which are refused anyway.
+UNKNOWN_SERVICE_DEADLINE_MS = 1_000
+# Label for services and classes that the configuration does not know; callers must not create labels.
+UNKNOWN_LABEL = "unknown"
+
+Executor = Callable[[ExecuteRequest], Awaitable[ExecuteAnswer | Refusal]]
+Gate = Callable[[], Refusal | None]
+AnswerT = TypeVar("AnswerT", SearchAnswer, ExecuteAnswer)
+
+
+class QueryPath:
+    """Take requests through admission to the parts that answer them, and count what happens."""
+
+    def __init__(
+        self,
+        catalogue: Callable[[], Catalogue],
+        admission: AdmissionPolicy,
+        searcher: Searcher[Any],
+        metrics: Metrics,
+        executor: Executor | None = None,
+        gate: Gate | None = None,
+    ) -> None:
+        """Set up; gate returns the refusal for new work while the host may take none."""
+        self._catalogue = catalogue
+        self._admission = admission
+        self._searcher = searcher
+        self._metrics = metrics
+        self._executor = executor or _no_store
+        self._gate = gate or _open
+
+    def deadline_ms(self, service: ServiceName) -> int:
+        """Return the deadline of requests to a service that name none."""
+        found = self._catalogue().services.get(service)
+        return found.deadline_ms if found is not None else UNKNOWN_SERVICE_DEADLINE_MS
+
+    async def search(self, request: SearchRequest) -> SearchAnswer | Refusal:
+        """Answer a search, or refuse it."""
+        outcome = await self._admitted(request, self._searcher.search)
+        if isinstance(outcome, SearchAnswer):
+            labels = (request.service, request.class_name)
+            self._metrics.coverage.labels(*labels).observe(outcome.coverage.ratio)
+            self._metrics.extra.labels(*labels).observe(outcome.extra / max(1, outcome.coverage.total))
+        return outcome
+
+    async def execute(self, request: ExecuteRequest) -> ExecuteAnswer | Refusal:
+        """Run a non-idempotent request, or refuse it."""
+        return await self._admitted(request, self._executor)
+
+    async def _admitted(self, request: Any, work: Callable[[Any], Awaitable[AnswerT | Refusal]]) -> AnswerT | Refusal:
+        started_s = anyio.current_time()
+        demand = self._check(request)
+        if isinstance(demand, Refusal):
+            return self._refused(request, demand)
+        ticket = await self._admission.enter(demand)
+        if isinstance(ticket, Refusal):
+            return self._refused(request, ticket)
+        labels = (request.service, request.class_name)
+        self._metrics.queue_s.labels(*labels).observe(ticket.queued_s)
+        outcome = await self._work(request, work, ticket)
+        if isinstance(outcome, Refusal):
+            return self._refused(request, outcome)
+        self._metrics.latency_s.labels(*labels).observe(anyio.current_time() - started_s)
+        return outcome
+
+    async def _work(
+        self, request: Any, work: Callable[[Any], Awaitable[AnswerT | Refusal]], ticket: Ticket
+    ) -> AnswerT | Refusal:
+        strained = False
+        try:
+            # The configuration may have become stale while the request waited.
+            outcome: AnswerT | Refusal = self._gate() or await work(request)
+            strained = isinstance(outcome, SearchAnswer) and outcome.sheds > 0
+            return outcome
+        finally:
+            self._admission.leave(ticket, strained=strained)
+
+    def _check(self, request: Any) -> Demand | Refusal:
+        closed = self._gate()
+        if closed is not None:
+            return closed
+        service = self._catalogue().services.get(request.service)
+        if service is None:
+            return Refusal(RefusalKind.UNKNOWN_SERVICE, Execution.NOT_RUN, "no such service", "service")
+        limits = service.limits(request.class_name)
+        if limits is None:
+            return Refusal(RefusalKind.UNKNOWN_CLASS, Execution.NOT_RUN, "no such class", "class")
+        return Demand(service.name, limits, request.caller, request.deadline_s)
+
+    def _refused(self, request: Any, refusal: Refusal) -> Refusal:
+        service = self._catalogue().services.get(request.service)
+        known = service is not None and service.limits(request.class_name) is not None
+        labels = (
+            request.service if service is not None else UNKNOWN_LABEL,
+            request.class_name if known else UNKNOWN_LABEL,
+            refusal.kind.value,
+        )
+        self._metrics.refusals.labels(*labels).inc()
+        return refusal
+
+
+async def _no_store(request: ExecuteRequest) -> Refusal:
+    return Refusal(RefusalKind.STORE_UNAVAILABLE, Execution.NOT_RUN, "no store")
+
+
+def _open() -> None:
+    return None
--- a/hawthornbridge/requests.py
+++ b/hawthornbridge/requests.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SearchAnswer:
-    """Hold the merged hits of one snapshot."""
+    """Hold the merged hits of one snapshot; extra counts hedges and retries, sheds the sub-requests shed."""
 
     request_id: RequestId
     snapshot: SnapshotNumber
@@ -56,6 +56,8 @@
     hits: tuple[Hit, ...]
     time_s: float
     hedged: bool
+    extra: int = 0
+    sheds: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornbridge/search.py
+++ b/hawthornbridge/search.py
@@ -48,9 +48,6 @@
 # First pause before CoverageFirst asks the replicas of a shard again; it doubles each time.
 FIRST_PAUSE_S = 0.005
 LONGEST_PAUSE_S = 0.1
-# Cancel calls that may wait or be under way; more are dropped, since a loser ends at its deadline anyway.
-CANCEL_BACKLOG = 256
-CONCURRENT_CANCELS = 32
 # The sum of many shares may end just below a whole query.
 CREDIT_TOLERANCE = 1e-9
 
@@ -133,6 +130,8 @@
     delay_s: float | None = None
     due: deque[tuple[float, "_Race"]] = field(default_factory=deque)
     hedged: bool = False
+    extra: int = 0
+    sheds: int = 0
     next_pinned: PinnedSnapshot | None = None
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
@@ -169,24 +168,6 @@
         # Callers may repeat each other's request ids, so sub-requests carry ids of this host's own.
         self._prefix = uuid_utils.uuid4().hex
         self._numbers = itertools.count()
-        self._cancels, self._cancels_due = anyio.create_memory_object_stream[tuple[ReplicaT, RequestId]](
-            CANCEL_BACKLOG
-        )
-
-    async def run(self) -> None:
-        """Send cancel calls for sub-requests that nobody waits for any more; runs as long as the host."""
-        limiter = anyio.Semaphore(CONCURRENT_CANCELS)
-
-        async def cancel(replica: ReplicaT, request_id: RequestId) -> None:
-            try:
-                await self._table.cancel(replica, request_id)
-            finally:
-                limiter.release()
-
-        async with anyio.create_task_group() as tasks:
-            async for replica, request_id in self._cancels_due:
-                await limiter.acquire()
-                tasks.start_soon(cancel, replica, request_id)
 
     async def search(self, request: SearchRequest) -> SearchAnswer | Refusal:
         """Fan a query out and return the merged answer with its true coverage."""
@@ -195,8 +176,12 @@
         service = catalogue.services.get(request.service)
         if service is None:
             return Refusal(RefusalKind.UNKNOWN_SERVICE, Execution.NOT_RUN, "no such service", "service")
-        if service.route(request.route) is None:
+        route = service.route(request.route)
+        if route is None:
             return Refusal(RefusalKind.UNKNOWN_ROUTE, Execution.NOT_RUN, "no such route", "route")
+        if not route.idempotent:
+            # A search may be hedged and retried.
+            return Refusal(RefusalKind.BAD_REQUEST, Execution.NOT_RUN, "the route is not idempotent", "route")
         deadline_s = request.deadline_s - ANSWER_RESERVE_S
         if started_s >= deadline_s:
             return Refusal(RefusalKind.DEADLINE, Execution.NOT_RUN, "the deadline leaves no time", "deadline_ms")
@@ -204,30 +189,32 @@
         pinned = best_snapshot(catalogue, self._table, service.name, versions)
         if pinned is None:
             return Refusal(RefusalKind.NO_UPSTREAM, Execution.NOT_RUN, "no usable upstream")
-        best, hedged = await self._passes(_Pass(request, catalogue, service, versions, pinned, deadline_s))
+        best, passes = await self._passes(_Pass(request, catalogue, service, versions, pinned, deadline_s))
         return SearchAnswer(
             request_id=request.request_id,
             snapshot=best.pinned.number,
             coverage=best.coverage,
             hits=_merge(best.replies, request.limit),
             time_s=anyio.current_time() - started_s,
-            hedged=hedged,
+            hedged=any(work.hedged for work in passes),
+            extra=sum(work.extra for work in passes),
+            sheds=sum(work.sheds for work in passes),
         )
 
-    async def _passes(self, work: _Pass) -> tuple[_Pass, bool]:
-        """Fan out, again on another snapshot as often as one vanishes; return the pass that covers most."""
+    async def _passes(self, work: _Pass) -> tuple[_Pass, list[_Pass]]:
+        """Fan out, again on another snapshot as often as one vanishes; return the best pass and all of them."""
         best = work
-        hedged = False
+        passes = []
         gone: set[tuple[MapId, SnapshotNumber]] = set()
         while True:
             gone.add(work.pinned.key)
             await self._fan_out(work, gone)
-            hedged = hedged or work.hedged
+            passes.append(work)
             # The later pass wins a tie because its snapshot is the one that still exists.
             if work.coverage.ratio >= best.coverage.ratio:
                 best = work
             if work.next_pinned is None or anyio.current_time() >= work.deadline_s:
-                return best, hedged
+                return best, passes
             emit(
                 Event.SEARCH_RESTARTED,
                 service=work.service.name,
@@ -326,7 +313,7 @@
         """Start hedged requests as they come due; one task serves all shards, because few of them need it."""
         while True:
             # A race that starts during this sleep comes due after it at the earliest.
-            await anyio.sleep(work.due[0][0] - anyio.current_time() if work.due else delay_s)
+            await anyio.sleep_until(work.due[0][0] if work.due else anyio.current_time() + delay_s)
             while work.due and (work.due[0][1].done or work.due[0][0] <= anyio.current_time()):
                 _, race = work.due.popleft()
                 if race.done or not race.hedges:
@@ -363,6 +350,8 @@
         )
         if purpose is Purpose.FIRST:
             self._policy.sent(service)
+        else:
+            work.extra += 1
         self._metrics.sub_requests.labels(service, purpose.value).inc()
         started_s = anyio.current_time()
         try:
@@ -376,7 +365,6 @@
             # window would hedge earlier than the one before.
             if work.delay_s is not None and now_s - started_s >= work.delay_s:
                 self._policy.observe(service, route, now_s - started_s)
-            self._cancel_soon(replica, sub_request.request_id)
             raise
         latency_s = anyio.current_time() - started_s
         match outcome:
@@ -388,6 +376,8 @@
                 self._report(service, route, version, latency_s, failed=True)
             case UpstreamRefusal(UpstreamRefusalKind.SNAPSHOT_GONE):
                 without.add(replica.upstream.id)
+            case UpstreamRefusal(UpstreamRefusalKind.SHED):
+                work.sheds += 1
             case UpstreamRefusal(UpstreamRefusalKind.DEADLINE):
                 self._report(service, route, version, latency_s, failed=True)
             case UpstreamFailure(kind) if kind is not FailureKind.CONNECT:
@@ -426,12 +416,6 @@
             work.next_pinned = other
             work.scope.cancel()
 
-    def _cancel_soon(self, replica: ReplicaT, request_id: RequestId) -> None:
-        try:
-            self._cancels.send_nowait((replica, request_id))
-        except anyio.WouldBlock:
-            self._metrics.cancels_dropped.inc()
-
     def _report(
         self, service: ServiceName, route: RouteName, version: VersionName, latency_s: float, *, failed: bool
     ) -> None:
--- a/hawthornbridge/settings.py
+++ b/hawthornbridge/settings.py
@@ -76,6 +76,8 @@
     """Bound what the host reads and holds."""
 
     body_bytes: Annotated[int, msgspec.Meta(ge=1_024, le=16_777_216)] = 65_536
+    header_bytes: Annotated[int, msgspec.Meta(ge=1_024, le=65_536)] = 8_192
+    deadline_ms: Annotated[int, msgspec.Meta(ge=10, le=600_000)] = 60_000
     read_ms: Annotated[int, msgspec.Meta(ge=10, le=60_000)] = 2_000
     concurrent_queries: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 64
     hedge_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
--- a/hawthornbridge/snapshots.py
+++ b/hawthornbridge/snapshots.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
-from hawthornbridge.ids import MapId, RequestId, ServiceName, ShardName, SnapshotNumber, UpstreamId, VersionName
+from hawthornbridge.ids import MapId, ServiceName, ShardName, SnapshotNumber, UpstreamId, VersionName
 from hawthornbridge.model import Catalogue, ShardMap, Upstream
 from hawthornbridge.subrequests import Search, SearchOutcome
 
@@ -55,10 +55,7 @@
         """Choose a replica for a hedged request: never a cold, shedding or leaving one."""
 
     async def search(self, replica: ReplicaT, request: Search) -> SearchOutcome:
-        """Send a search and return its outcome; a caller that is cancelled leaves the reply to the table."""
-
-    async def cancel(self, replica: ReplicaT, request_id: RequestId) -> None:
-        """Tell a replica that nobody waits for a request any more."""
+        """Send a search and return its outcome; cancelling this call cancels the request at the upstream."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/fake_table.py
+++ b/tests/fake_table.py
@@ -56,13 +56,16 @@
     arrived: list = field(default_factory=list)
     cancelled: list = field(default_factory=list)
 
+    def __post_init__(self):
+        self._by_shard = {}
+        for replica in self.replicas:
+            self._by_shard.setdefault((replica.upstream.shard, replica.upstream.version), []).append(replica)
+
     def usable(self, service, shard, version, snapshot):
         return [
             replica
-            for replica in self.replicas
-            if replica.usable
-            and (replica.upstream.shard, replica.upstream.version) == (shard, version)
-            and (snapshot is None or snapshot in replica.snapshots)
+            for replica in self._by_shard.get((shard, version), ())
+            if replica.usable and (snapshot is None or snapshot in replica.snapshots)
         ]
 
     def choose(self, service, shard, version, snapshot, excluded=()):
@@ -77,13 +80,14 @@
     async def search(self, replica, request):
         self.sent.append((replica, request))
         delay_s, outcome = self.behave(replica, request)
-        await anyio.sleep(delay_s)
+        try:
+            await anyio.sleep(delay_s)
+        except anyio.get_cancelled_exc_class():
+            self.cancelled.append((replica.upstream.id, request.request_id))
+            raise
         self.arrived.append((request, outcome))
         return outcome
 
-    async def cancel(self, replica, request_id):
-        self.cancelled.append((replica.upstream.id, request_id))
-
 
 def reply(replica, request, **changes):
     """Return the reply of a replica; its hits tell shard, snapshot and replica."""
@@ -114,10 +118,10 @@
     )
 
 
-def catalogue(maps, upstreams=(), policy=None, classes=DEFAULT_CLASSES) -> Catalogue:
+def catalogue(maps, upstreams=(), policy=None, classes=DEFAULT_CLASSES, idempotent=True) -> Catalogue:
     service = Service(
         name=SERVICE,
-        routes=(Route(ROUTE),),
+        routes=(Route(ROUTE, idempotent),),
         classes=classes,
         version=VersionName("v1"),
         policy=policy or LatencyFirst(),
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -30,9 +30,13 @@
     return "asyncio"
 
 
-def settings_for(port):
+BODY = {"service": SERVICE, "route": "lookup", "query": "last", "request_id": "q1"}
+
+
+def settings_for(port, **changes):
     return decode(
-        {
+        changes
+        | {
             "host": {"id": "entry-1", "seat": 0, "seats": 3, "failure_domain": "a", "region": "r1"},
             "listeners": {
                 "callers": f"127.0.0.1:{port()}",
@@ -88,7 +92,7 @@
     daemon = Daemon(settings, catalogue_for(leaves))
     async with anyio.create_task_group() as tasks:
         await tasks.start(daemon.run)
-        body = {"service": SERVICE, "route": "lookup", "query": "last", "request_id": "q1", "deadline_ms": 1_000}
+        body = {**BODY, "deadline_ms": 1_000}
         with anyio.fail_after(5):
             while True:
                 status, answer = await post(settings.listeners.callers, "/v1/search", body)
@@ -101,3 +105,56 @@
     assert len(answer["hits"]) == 12
     assert answer["request_id"] == "q1"
     assert answer["snapshot"] == 1
+
+
+@pytest.mark.anyio
+async def test_a_planned_stop_cuts_no_request(free_port):
+    """Guards against requests lost while a host stops: callers use its address as long as the answer is valid."""
+    leaves = [Leaf(shard=shard, service_ms=20) for shard in SHARDS for _ in range(2)]
+    for leaf in leaves:
+        await leaf.start()
+    settings = settings_for(free_port, address_valid_ms=200)
+    address = settings.listeners.callers
+    daemon = Daemon(settings, catalogue_for(leaves))
+    stopped, outcomes, asked_late = anyio.Event(), [], []
+
+    async def run(*, task_status):
+        await daemon.run(task_status=task_status)
+        stopped.set()
+
+    async def caller(number):
+        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+            while True:
+                asked_s = anyio.current_time()
+                content = (await pool.request("GET", f"http://{address}/v1/addresses")).content
+                valid = msgspec.json.decode(content)
+                until_s = asked_s + valid["valid_ms"] / 1_000
+                if not valid["addresses"]:
+                    return
+                while anyio.current_time() < until_s:
+                    request_id = f"{number}-{len(outcomes)}"
+                    asked_late.append(daemon.leaving)
+                    body = {"service": SERVICE, "route": "lookup", "query": "x", "request_id": request_id}
+                    content = msgspec.json.encode({**body, "deadline_ms": 5_000})
+                    response = await pool.request("POST", f"http://{address}/v1/search", content=content)
+                    outcomes.append(
+                        (response.status, msgspec.json.decode(response.content)["request_id"] == request_id)
+                    )
+
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(run)
+        while (await post(address, "/v1/search", {**BODY, "deadline_ms": 1_000}))[0] != 200:
+            pass
+        async with anyio.create_task_group() as callers:
+            for number in range(8):
+                callers.start_soon(caller, number)
+            while len(outcomes) < 20:
+                await anyio.sleep(0)
+            daemon.stop()
+        with anyio.fail_after(5):
+            await stopped.wait()
+        tasks.cancel_scope.cancel()
+    for leaf in leaves:
+        await leaf.stop()
+    assert set(outcomes) == {(200, True)}
+    assert any(asked_late)
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,127 @@
+import anyio
+import pytest
+
+from hawthornbridge.callers import send_json
+from hawthornbridge.listeners import Listener
+from hawthornbridge.settings import LimitSettings
+
+REQUEST = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def answer_at_once(scope, receive, send):
+    await send_json(send, 200, {"path": scope["path"]})
+
+
+async def read_all(stream):
+    content = b""
+    try:
+        while True:
+            content += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return content
+
+
+@pytest.mark.parametrize(
+    ("content", "status"),
+    [
+        (b"GET /x HTTP/1.1\r\nhost: h\r\nlong: " + b"v" * 1_100 + b"\r\n\r\n", 431),
+        (b"GET /x HTTP/1.1\r\nhost: h\r\nendless: " + b"v" * 3_000, 431),
+        (b"GET /" + b"x" * 1_100 + b" HTTP/1.1\r\nhost: h\r\n\r\n", 431),
+        (b"GET /x HTTP/1.1\r\nhost: h\r\n" + b"a: b\r\n" * 400 + b"\r\n", 431),
+        (b"GET /x HTTP/1.1\r\nhost: h\r\n", 408),
+        (b"what is this\r\n\r\n", 400),
+        (b"", None),
+        (b"\r\n", None),
+        (REQUEST.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"), 200),
+    ],
+)
+@pytest.mark.anyio
+async def test_heads_are_bounded_in_size_and_time(free_port, content, status):
+    """Guards against callers that hold memory or connections with heads that do not end."""
+    port = free_port()
+    # Only the cases that end by the reading time have a short one, so that a slow machine changes no outcome.
+    limits = LimitSettings(header_bytes=1_024, read_ms=300 if status in (408, None) else 10_000)
+    listener = Listener(answer_at_once, f"127.0.0.1:{port}", limits)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(listener.run)
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            if content:
+                await stream.send(content)
+            with anyio.fail_after(5):
+                answer = await read_all(stream)
+        await listener.drain()
+    assert answer.startswith(f"HTTP/1.1 {status} ".encode() if status else b"") and bool(answer) == bool(status)
+
+
+@pytest.mark.anyio
+async def test_a_drain_finishes_requests_and_heads_that_have_begun(free_port):
+    """Guards against a stop that cuts requests in progress."""
+    port = free_port()
+    go, entered = anyio.Event(), anyio.Event()
+
+    async def answer_later(scope, receive, send):
+        entered.set()
+        await go.wait()
+        await send_json(send, 200, {})
+
+    listener = Listener(answer_later, f"127.0.0.1:{port}", LimitSettings())
+    answers = []
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(listener.run)
+        running, begun, idle = [await anyio.connect_tcp("127.0.0.1", port) for _ in range(3)]
+        await running.send(REQUEST)
+        await begun.send(REQUEST[:10])
+        await entered.wait()
+        tasks.start_soon(listener.drain)
+        assert await read_all(idle) == b""
+        await begun.send(REQUEST[10:])
+        go.set()
+        with anyio.fail_after(5):
+            answers = [await read_all(stream) for stream in (running, begun)]
+    for stream in (running, begun, idle):
+        await stream.aclose()
+    assert [answer[:12] for answer in answers] == [b"HTTP/1.1 200"] * 2
+    assert all(b"connection: close" in answer for answer in answers)
+
+
+@pytest.mark.anyio
+async def test_an_abort_cuts_and_counts_what_is_in_progress(free_port):
+    """Guards against a shortened stop that never ends."""
+    port = free_port()
+    entered = anyio.Event()
+
+    async def never_answer(scope, receive, send):
+        entered.set()
+        await anyio.sleep_forever()
+
+    listener = Listener(never_answer, f"127.0.0.1:{port}", LimitSettings())
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(listener.run)
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(REQUEST)
+            await entered.wait()
+            tasks.start_soon(listener.drain)
+            assert listener.abort() == 1
+            assert await read_all(stream) == b""
+
+
+@pytest.mark.anyio
+async def test_a_leaving_host_ends_connections_with_their_answers(free_port):
+    """Guards against callers that keep a connection to a host until it stops."""
+    port = free_port()
+    listener = Listener(answer_at_once, f"127.0.0.1:{port}", LimitSettings())
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(listener.run)
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(REQUEST)
+            assert b"connection: close" not in await stream.receive()
+            listener.close_after_answers()
+            await stream.send(REQUEST)
+            with anyio.fail_after(5):
+                assert b"connection: close" in await read_all(stream)
+        await listener.drain()
--- /dev/null
+++ b/tests/test_queries.py
@@ -0,0 +1,107 @@
+import random
+
+import anyio
+import pytest
+from fake_table import SERVICE, FakeReplica, FakeTable, catalogue, refusal, reply, request, upstream
+
+from hawthornbridge.admission import FairShareAdmission
+from hawthornbridge.hedging import UnhedgedPolicy
+from hawthornbridge.metrics import Metrics, ProbeApp
+from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
+from hawthornbridge.queries import QueryPath
+from hawthornbridge.requests import SearchRequest
+from hawthornbridge.search import Searcher
+
+STALE = Refusal(RefusalKind.STALE_CONFIGURATION, Execution.NOT_RUN, "stale")
+
+
+def path_for(behave, *, gate=None, concurrent=8):
+    config = catalogue({"m1": ("s0",)})
+    table = FakeTable([FakeReplica(upstream("s0", n), {1: "m1"}) for n in range(2)], behave)
+    metrics, admission = Metrics(), FairShareAdmission(concurrent)
+    searcher = Searcher(table, lambda: config, UnhedgedPolicy(), metrics=metrics, chance=random.Random(1))
+    return QueryPath(lambda: config, admission, searcher, metrics, gate=gate), metrics, admission, table
+
+
+def changed(asked, **changes):
+    names = SearchRequest.__dataclass_fields__
+    return SearchRequest(**{name: getattr(asked, name) for name in names} | changes)
+
+
+@pytest.mark.parametrize(
+    ("changes", "kind", "field", "labels"),
+    [
+        ({"service": "other"}, RefusalKind.UNKNOWN_SERVICE, "service", ("unknown", "unknown")),
+        ({"class_name": "other"}, RefusalKind.UNKNOWN_CLASS, "class", (SERVICE, "unknown")),
+        ({"route": "other"}, RefusalKind.UNKNOWN_ROUTE, "route", (SERVICE, "default")),
+        ({"deadline_s": -1.0}, RefusalKind.DEADLINE, "deadline_ms", (SERVICE, "default")),
+    ],
+)
+@pytest.mark.anyio
+async def test_requests_outside_the_configuration_are_refused(changes, kind, field, labels):
+    """Guards against unknown names that reach upstreams, or that create metric labels."""
+    path, metrics, admission, table = path_for(lambda r, s: (0.01, reply(r, s)))
+    outcome = await path.search(changed(request(), **changes))
+    assert (outcome.kind, outcome.execution, outcome.field) == (kind, Execution.NOT_RUN, field)
+    assert (table.sent, admission.load) == ([], 0)
+    name = "hawthornbridge_refusals_total"
+    wanted = {"service": labels[0], "class": labels[1], "kind": kind.value}
+    assert metrics.registry.get_sample_value(name, wanted) == 1
+
+
+@pytest.mark.anyio
+async def test_work_that_waited_is_refused_if_the_host_may_not_take_it_any_more():
+    """Guards against work sent on a stale configuration after a wait in the queue."""
+    state = {"refusal": None}
+    path, _, admission, table = path_for(lambda r, s: (0.05, reply(r, s)), gate=lambda: state["refusal"], concurrent=1)
+    outcomes = []
+
+    async def ask():
+        outcomes.append(await path.search(request(1.0)))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await anyio.sleep(0.01)
+        tasks.start_soon(ask)
+        await anyio.sleep(0.01)
+        state["refusal"] = STALE
+    assert outcomes[0].coverage.ratio == 1.0
+    assert outcomes[1] == STALE
+    assert (len(table.sent), admission.load) == (1, 0)
+
+
+@pytest.mark.anyio
+async def test_sheds_lower_the_concurrency_and_count_as_extra_load():
+    """Guards against an adaptive limit that never hears of sheds."""
+    calls = iter([refusal("shed")])
+    path, metrics, admission, _ = path_for(lambda r, s: (0.01, next(calls, None) or reply(r, s)))
+    before = admission.limit
+    answer = await path.search(request())
+    assert (answer.coverage.ratio, answer.extra, answer.sheds) == (1.0, 1, 1)
+    assert admission.limit < before
+    labels = {"service": SERVICE, "class": "default"}
+    assert metrics.registry.get_sample_value("hawthornbridge_extra_load_ratio_sum", labels) == 1.0
+    assert metrics.registry.get_sample_value("hawthornbridge_coverage_ratio_sum", labels) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("path", "ready", "status"),
+    [
+        ("/healthz", False, 200),
+        ("/readyz", True, 200),
+        ("/readyz", False, 503),
+        ("/metrics", True, 200),
+        ("/x", 1, 404),
+    ],
+)
+@pytest.mark.anyio
+async def test_probes_tell_health_and_readiness_apart(path, ready, status):
+    """Guards against a stopping host that is taken for a broken one, or for a ready one."""
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    await ProbeApp(Metrics(), lambda: ready)({"method": "GET", "path": path}, None, send)
+    assert sent[0]["status"] == status
+    assert path != "/metrics" or b"hawthornbridge_latency_seconds" in sent[1]["body"]
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -259,14 +259,10 @@
     table = FakeTable(replicas(["s0"]), lambda r, s: (1.0 if r.upstream.id in slow else 0.01, reply(r, s)))
     results = []
     search = searcher(table, {"m1": ("s0",)}, hedging="quantile", record=lambda *result: results.append(result))
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(search.run)
-        for _ in range(200):
-            await search.search(request())
-        slow.add("s0a-v1")
-        answers = [await search.search(request()) for _ in range(6)]
-        await anyio.sleep(0.1)
-        tasks.cancel_scope.cancel()
+    for _ in range(200):
+        await search.search(request())
+    slow.add("s0a-v1")
+    answers = [await search.search(request()) for _ in range(6)]
     asked_slow = [sub.request_id for replica, sub in table.sent[200:] if replica.upstream.id in slow]
     assert asked_slow
     assert {answer.coverage.answered for answer in answers} == {1}
@@ -276,6 +272,36 @@
     assert not any(failed for *_, failed in results)
 
 
+def test_hedges_that_come_due_during_a_stall_are_sent_after_it():
+    """Guards against a query that fails because the event loop was late."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    policy = QuantileHedging(1.0, 0.0, clock.current_time)
+    delays_s = iter([1.0, 1.0, 0.01, 0.01])
+
+    def behave(replica, sub):
+        if len(table.sent) == 1:
+            clock.jump(0.06)
+        return next(delays_s), reply(replica, sub)
+
+    table = FakeTable(replicas(["s0", "s1"]), behave)
+    config = catalogue({"m1": ("s0", "s1")})
+
+    async def main():
+        return await Searcher(table, lambda: config, policy).search(request(0.5))
+
+    answer = trio.run(main, clock=clock)
+    assert (answer.coverage.ratio, answer.hedged) == (1.0, True)
+
+
+@pytest.mark.anyio
+async def test_a_route_that_is_not_idempotent_is_never_searched():
+    """Guards against hedges and retries that run an order twice."""
+    table = FakeTable(replicas(["s0"]), fixed())
+    config = catalogue({"m1": ("s0",)}, idempotent=False)
+    outcome = await Searcher(table, lambda: config).search(request())
+    assert (outcome.kind, outcome.field, table.sent) == (RefusalKind.BAD_REQUEST, "route", [])
+
+
 @pytest.mark.anyio
 async def test_no_hedge_goes_to_a_cold_shedding_or_leaving_upstream():
     """Guards against hedges that overload an upstream that is just starting."""
@@ -304,12 +330,8 @@
     """Guards against work for callers that have gone."""
     table = FakeTable(replicas(["s0", "s1"]), fixed(delay_s=1.0))
     search = searcher(table, {"m1": ("s0", "s1")})
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(search.run)
-        with anyio.move_on_after(0.02):
-            await search.search(request())
-        await anyio.sleep(0.01)
-        tasks.cancel_scope.cancel()
+    with anyio.move_on_after(0.02):
+        await search.search(request())
     assert len(table.cancelled) == 2
 
 
