--- a/hawthornbridge/allowance.py
+++ b/hawthornbridge/allowance.py
@@ -7,6 +7,7 @@
 from math import inf
 from typing import Protocol
 
+import msgspec
 import xxhash
 
 from hawthornbridge.ids import Incarnation, Seat, UpstreamId
@@ -43,8 +44,7 @@
     RESTORED = "restored"
 
 
-@dataclass(frozen=True, slots=True)
-class AllowanceNotice:
+class AllowanceNotice(msgspec.Struct, frozen=True, array_like=True):
     """Tell the other hosts how much work an upstream may have in flight.
 
     Falls counts the falls within an incarnation. A reading with more falls replaces one with fewer, and among readings
--- /dev/null
+++ b/hawthornbridge/host.py
@@ -0,0 +1,229 @@
+"""One host: its parts wired together, without the listeners."""
+
+import random
+import time
+
+import anyio
+from anyio.abc import TaskGroup
+
+from hawthornbridge.addresses import MemberView, choose_addresses
+from hawthornbridge.allowance import AllowanceNotice
+from hawthornbridge.claims import Claims
+from hawthornbridge.control import Control
+from hawthornbridge.decider import Decider
+from hawthornbridge.domains import DomainMoves
+from hawthornbridge.evidence import RolloutEvidence
+from hawthornbridge.executions import Executions
+from hawthornbridge.ids import Incarnation, ServiceName
+from hawthornbridge.loads import Loads
+from hawthornbridge.membership import HostIdentity
+from hawthornbridge.messages import AllowanceNotices, Evidence
+from hawthornbridge.metrics import Metrics
+from hawthornbridge.model import Catalogue
+from hawthornbridge.operators import OperationsService
+from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
+from hawthornbridge.peers import PynngLinks
+from hawthornbridge.queries import QueryPath
+from hawthornbridge.registry import Kind, lookup
+from hawthornbridge.requests import ExecuteAnswer, ExecuteRequest, SearchAnswer, SearchRequest
+from hawthornbridge.rollouts import Rollouts
+from hawthornbridge.search import Searcher
+from hawthornbridge.settings import Settings
+from hawthornbridge.storelimits import LimitedStore
+from hawthornbridge.upstreams import UpstreamTable
+from hawthornbridge.warmup import WarmUp
+
+__all__ = ["Host"]
+
+# The configuration's calls have a rate of their own, so that orders never delay it.
+CONTROL_RATE_SHARE = 0.4
+# Changes of allowances are gathered for this time, so that a domain that returns makes few messages.
+NOTICE_INTERVAL_S = 0.1
+# Cold upstreams' allowances are repeated this often for hosts that missed a notice.
+NOTICE_REPEAT_S = 2.0
+# A message with this many notices stays well below the limit of 64 KB.
+NOTICES_PER_MESSAGE = 400
+SWEEP_INTERVAL_S = 60.0
+SWEEPERS = 2
+
+
+class Host:
+    """Hold the parts of one host and answer callers."""
+
+    def __init__(self, settings: Settings, tasks: TaskGroup) -> None:
+        self._settings = settings
+        self._tasks = tasks
+        self._random = random.Random()
+        self.leaving = False
+        self.metrics = Metrics()
+        plugins, limits, host = settings.plugins, settings.limits, settings.host
+        incarnation = Incarnation(time.time_ns())
+        store = lookup(Kind.PLATFORM_STORE, plugins.platform_store)(settings.platform.store)
+        control_rate = settings.platform.store_calls_per_s * CONTROL_RATE_SHARE
+        control_store = LimitedStore(store, control_rate)
+        claims_store = LimitedStore(store, settings.platform.store_calls_per_s - control_rate)
+        identity = HostIdentity(
+            host=host.id,
+            incarnation=incarnation,
+            seat=host.seat,
+            seats=host.seats,
+            address=settings.listeners.peers,
+            caller_address=settings.listeners.callers,
+            domain=host.failure_domain,
+            region=host.region,
+        )
+        host_list = lookup(Kind.MEMBERSHIP_SOURCE, plugins.membership_source)(settings.platform.host_list)
+        self._links = PynngLinks(settings.listeners.peers)
+        self._control = Control(identity, settings.tokens.peers, self._links, control_store, settings.peers, host_list)
+        self._ramp = lookup(Kind.RAMP, plugins.ramp)(host.seat, host.seats)
+        self._table = UpstreamTable(
+            lookup(Kind.UPSTREAM_PROTOCOL, plugins.upstream_protocol)(),
+            lookup(Kind.REPLICA_CHOICE, plugins.replica_choice),
+            host.seats,
+            self._ramp,
+        )
+        self._rollouts = Rollouts(self._catalogue, self._publish_evidence, host.id, incarnation, host.seats)
+        self._searcher = Searcher(
+            self._table,
+            self._catalogue,
+            lookup(Kind.HEDGING, plugins.hedging)(limits.hedge_share, limits.retry_share),
+            share_of=self._rollouts.share_of,
+            record=self._rollouts.record,
+            metrics=self.metrics,
+        )
+        self._claims = Claims(claims_store, host.id, tasks, time.time)
+        self._executions = Executions(self._claims, self._table, self._catalogue, tasks, time.time)
+        self._admission = lookup(Kind.ADMISSION, plugins.admission)(limits.concurrent_queries)
+        self._queries = QueryPath(
+            self._catalogue, self._admission, self._searcher, self.metrics, self._executions.execute, self._gate
+        )
+        loads = Loads(self._catalogue, self._table, self._control.membership)
+        configuration = self._control.configuration
+        self._moves = DomainMoves(configuration, loads, host.id)
+        self._decider = Decider(control_store, configuration, self._rollouts, host.id, incarnation, _now_ms)
+        self.operations = OperationsService(configuration, self._moves, loads, cut=self._rollouts.cut_by_operator)
+        self._warm_up = WarmUp(self._table, self._catalogue, self.metrics)
+        self._notices: dict[str, AllowanceNotice] = {}
+        self._connect_parts()
+
+    @property
+    def idle(self) -> bool:
+        """Return whether every execution has ended and its outcome is recorded."""
+        return self._executions.idle
+
+    def ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return not self.leaving and self._gate() is None
+
+    async def run(self) -> None:
+        """Run the tasks of every part until cancelled."""
+        parts = (
+            self._control.run,
+            self._rollouts.run,
+            self._decider.run,
+            self._moves.run,
+            self._warm_up.run,
+            self._publish_notices,
+            self._sweep_claims,
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                for part in parts:
+                    tasks.start_soon(part)
+        finally:
+            self._links.close()
+
+    def leave(self) -> None:
+        """Tell the other hosts that this one leaves, so that they hand out its address no more."""
+        self.leaving = True
+        self._control.membership.leaving = True
+        self._control.membership.beat()
+
+    async def search(self, request: SearchRequest) -> SearchAnswer | Refusal:
+        """Answer a search."""
+        outcome = await self._queries.search(request)
+        if isinstance(outcome, SearchAnswer):
+            self._warm_up.note(request)
+        return outcome
+
+    async def execute(self, request: ExecuteRequest) -> ExecuteAnswer | Refusal:
+        """Run a non-idempotent request at most once."""
+        return await self._queries.execute(request)
+
+    def deadline_ms(self, service: ServiceName) -> int:
+        """Return the deadline of requests to a service that name none."""
+        return self._queries.deadline_ms(service)
+
+    def addresses(self) -> list[str]:
+        """Return the entry addresses that callers should use."""
+        host, now_s = self._settings.host, anyio.current_time()
+        membership = self._control.membership
+        leaving = {member.heartbeat.host for member in membership.leaving_members}
+        views = [
+            MemberView(
+                member.heartbeat.caller_address,
+                member.heartbeat.domain,
+                member.heartbeat.host in leaving,
+                member.heartbeat.load,
+                now_s - member.received_s,
+            )
+            for member in membership.live
+        ]
+        if not self.leaving:
+            # An answer that names a leaving host would be valid beyond its stop.
+            own = self._settings.listeners.callers
+            views.append(MemberView(own, host.failure_domain, False, self._admission.load, 0.0))
+        return choose_addresses(views, self._random)
+
+    def _connect_parts(self) -> None:
+        peers, membership = self._control.peers, self._control.membership
+        peers.subscribe(Evidence, lambda message: self._rollouts.on_evidence(message.evidence))
+        peers.subscribe(AllowanceNotices, self._receive_notices)
+        membership.load = lambda: self._admission.load
+        self._ramp.on_allowance = self._note_allowance
+        self._control.configuration.listen(lambda catalogue: self._table.apply(catalogue, self._tasks))
+
+    def _catalogue(self) -> Catalogue:
+        return self._control.configuration.catalogue
+
+    def _gate(self) -> Refusal | None:
+        state = self._control.configuration.may_serve()
+        if state.serves:
+            return None
+        return Refusal(RefusalKind.STALE_CONFIGURATION, Execution.NOT_RUN, type(state).__name__)
+
+    def _publish_evidence(self, evidence: RolloutEvidence) -> None:
+        self._control.peers.publish(Evidence(evidence))
+
+    def _receive_notices(self, message: AllowanceNotices) -> None:
+        for notice in message.notices:
+            self._table.receive_allowance(notice)
+
+    def _note_allowance(self, notice: AllowanceNotice) -> None:
+        self._notices[notice.upstream] = notice
+
+    async def _publish_notices(self) -> None:
+        repeat_s = anyio.current_time()
+        while True:
+            await anyio.sleep(NOTICE_INTERVAL_S)
+            if anyio.current_time() >= repeat_s:
+                repeat_s = anyio.current_time() + NOTICE_REPEAT_S
+                cold = (notice for notice in self._ramp.notices() if self._ramp.is_cold(notice.upstream))
+                self._notices |= {notice.upstream: notice for notice in cold}
+            gathered, self._notices = list(self._notices.values()), {}
+            for first in range(0, len(gathered), NOTICES_PER_MESSAGE):
+                part = tuple(gathered[first : first + NOTICES_PER_MESSAGE])
+                self._control.peers.publish(AllowanceNotices(part))
+
+    async def _sweep_claims(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S * self._random.uniform(0.5, 1.5))
+            if not self._control.membership.is_among_first(SWEEPERS, "sweepers"):
+                continue
+            for service in self._catalogue().services.values():
+                if any(not route.idempotent for route in service.routes):
+                    await self._claims.sweep(service.name)
+
+
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/hawthornbridge/messages.py
+++ b/hawthornbridge/messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from hawthornbridge.allowance import AllowanceNotice
 from hawthornbridge.evidence import RolloutEvidence
 from hawthornbridge.ids import (
     DomainName,
@@ -12,7 +13,6 @@
     HostId,
     Incarnation,
     Seat,
-    UpstreamId,
 )
 from hawthornbridge.model import Entry
 from hawthornbridge.outcomes import Reachability
@@ -20,10 +20,9 @@
 __all__ = [
     "MESSAGE_LIMIT_BYTES",
     "PART_LIMIT_BYTES",
-    "AllowanceNotice",
+    "AllowanceNotices",
     "BaseChunk",
     "Codec",
-    "Cut",
     "Entries",
     "EntriesRequest",
     "Evidence",
@@ -66,7 +65,8 @@
     """Report the state of one host.
 
     store_age_ms is None while no contact with the store is known. echoes holds the sequence of the last heartbeat that
-    arrived from each process, under its echo key.
+    arrived from each process, under its echo key. in_flight counts the sender's sub-requests in failure domains that
+    take no new work.
     """
 
     host: HostId
@@ -86,6 +86,7 @@
     pending: tuple[PendingChange, ...]
     leaving: bool
     load: float
+    in_flight: dict[DomainName, int]
     echoes: dict[int, int]
     members: tuple[MemberSummary, ...]
 
@@ -143,26 +144,14 @@
     evidence: RolloutEvidence
 
 
-class Cut(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """Say that a rollout's traffic is stopped, and why."""
+class AllowanceNotices(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Carry the in-flight allowances of cold upstreams."""
 
-    rollout: str
-    host: HostId
-    reason: str
-
-
-class AllowanceNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
-    """Report the in-flight allowance of a cold upstream; revision orders notices of one incarnation."""
-
-    upstream: UpstreamId
-    incarnation: Incarnation
-    allowance: int
-    revision: int
-    host: HostId
+    notices: tuple[AllowanceNotice, ...]
 
 
 Message: TypeAlias = (
-    Heartbeat | Entries | EntriesRequest | BaseChunk | Proposal | ProposalSeen | Evidence | Cut | AllowanceNotice
+    Heartbeat | Entries | EntriesRequest | BaseChunk | Proposal | ProposalSeen | Evidence | AllowanceNotices
 )
 
 
--- a/hawthornbridge/rollouts.py
+++ b/hawthornbridge/rollouts.py
@@ -162,6 +162,7 @@
         if rollout_id in self._cuts:
             return
         self._cuts[rollout_id] = reason
+        self._publish(self._board.own(rollout_id, reason))
         emit(Event.ROLLOUT_CUT, rollout=rollout_id, reason=reason)
 
     def _is_judged(self, rollout: Rollout) -> bool:
