Test orders over loopback with the real store client and the real table of upstreams

Cause: the other tests of executions.py replace the upstreams and the store's transport. Change: one test with two hosts, a stand-in store and two stand-in leaves: a repeat on the other host, a lost answer and a stopped store; the leaves' own counts show each key once. Conclusion: executions.py fits UpstreamTable as it is.

--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -56,7 +56,7 @@
     return IdempotencyKey(str(uuid_utils.uuid7(nanoseconds=int(wall_clock_s() * 1e9) + number)))
 
 
-def catalogue(shards=("s0",)):
+def catalogue(shards=("s0",), addresses=("127.0.0.1:1",) * UPSTREAMS):
     service = Service(
         name=SERVICE,
         routes=(Route(ORDER, idempotent=False), Route(PRICE)),
@@ -71,12 +71,12 @@
             shard=ShardName(shard),
             failure_domain=DomainName("a"),
             version=VersionName("v1"),
-            address="127.0.0.1:1",
+            address=address,
             slots=3,
             connections=110,
         )
         for shard in shards
-        for number in range(UPSTREAMS)
+        for number, address in enumerate(addresses)
     ]
     return fold(
         [
--- a/tests/test_executions.py
+++ b/tests/test_executions.py
@@ -1,3 +1,5 @@
+import time
+
 import anyio
 import msgspec
 import pytest
@@ -7,14 +9,22 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from hawthornbridge.claims import Claim, ClaimState
-from hawthornbridge.executions import shard_of
+from hawthornbridge.claims import Claim, Claims, ClaimState
+from hawthornbridge.executions import Executions, shard_of
+from hawthornbridge.ids import HostId
+from hawthornbridge.leafhttp import HttpUpstreamProtocol
 from hawthornbridge.model import Entry, PutShardMap, ShardMap
 from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
-from hawthornbridge.requests import ExecuteAnswer
+from hawthornbridge.replicas import choose_at_random
+from hawthornbridge.requests import ExecuteAnswer, ExecuteRequest
 from hawthornbridge.store import Key
+from hawthornbridge.storehttp import HttpStore
+from hawthornbridge.storelimits import LimitedStore
+from hawthornbridge.upstreams import UpstreamTable
+from standins.leaf import Leaf
 from standins.memorystore import Fault
-from tests.ledger import EPOCH_S, PRICE, SERVICE, Opened, Send, catalogue, new_key
+from standins.store import StoreServer
+from tests.ledger import EPOCH_S, ORDER, PRICE, SERVICE, Opened, Send, catalogue, new_key
 
 
 def key_at(time_s):
@@ -261,6 +271,57 @@
         assert world.ledger.per_key == {key: 1}
 
 
+class OverLoopback:
+    """Run executions over the real store client, the real table of upstreams and their stand-ins."""
+
+    def __init__(self, tasks, store_address, catalogue):
+        self.store = HttpStore(store_address)
+        limited = LimitedStore(self.store, calls_per_s=1_000)
+        self.table = UpstreamTable(HttpUpstreamProtocol(), choose_at_random, seats=3)
+        self.table.apply(catalogue, tasks)
+        claims = Claims(limited, HostId("h"), tasks, time.time)
+        self.executions = Executions(claims, self.table, lambda: catalogue, tasks, time.time)
+
+    async def order(self, key):
+        deadline_s = anyio.current_time() + 5
+        return await self.executions.execute(
+            ExecuteRequest("r", SERVICE, ORDER, "default", "c", key, {"copies": 1}, deadline_s)
+        )
+
+
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+@pytest.mark.anyio
+async def test_orders_run_once_over_loopback(anyio_backend):
+    leaves = [Leaf("s0", slots=3, connections=110, service_ms=1.0) for _ in range(2)]
+    server = StoreServer()
+    for served in (server, *leaves):
+        await served.start()
+    held = catalogue(addresses=[leaf.server.address for leaf in leaves])
+    async with anyio.create_task_group() as tasks:
+        one, two = (OverLoopback(tasks, server.server.address, held) for _ in range(2))
+        with anyio.fail_after(10):
+            while not all(host.table.usable(SERVICE, "s0", "v1", None) for host in (one, two)):
+                await anyio.sleep(0.005)
+            keys = [str(uuid_utils.uuid7()) for _ in range(3)]
+            first = await one.order(keys[0])
+            assert isinstance(first, ExecuteAnswer), first
+            again = await two.order(keys[0])
+            assert (again.result, again.repeated) == (first.result, True)
+            for leaf in leaves:
+                leaf.faults.lost_answer_share = 1.0
+            for host in (one, two):
+                assert (await host.order(keys[1])).execution is Execution.UNKNOWN
+            await server.stop()
+            assert refused(await one.order(keys[2]), RefusalKind.STORE_UNAVAILABLE, Execution.NOT_RUN)
+        executed = [key for leaf in leaves for key in leaf.executed for _ in range(leaf.executed[key])]
+        assert sorted(executed) == sorted(keys[:2])
+        tasks.cancel_scope.cancel()
+    for host in (one, two):
+        await host.store.aclose()
+    for leaf in leaves:
+        await leaf.stop()
+
+
 HOSTS = 3
 KEYS = 2
 WAITS_S = st.sampled_from([0.03, 0.1, 0.4, 1.5])
