--- a/hawthornbridge/model.py
+++ b/hawthornbridge/model.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from enum import Enum
 from functools import cached_property
+from itertools import pairwise
 from typing import Annotated, TypeAlias, TypeVar
 
 import msgspec
@@ -21,11 +22,13 @@
 )
 
 __all__ = [
+    "RELIES_ON_FIELD",
     "Catalogue",
     "Change",
     "ChangeRejectedError",
     "ClassLimits",
     "CoverageFirst",
+    "DomainGeneration",
     "DomainState",
     "Entry",
     "FailureDomain",
@@ -51,11 +54,22 @@
     "fold",
 ]
 
+# The field that a refusal names when a domain that a change relies on has changed.
+RELIES_ON_FIELD = "relies_on"
+
 Share: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Count: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Milliseconds: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 
 
+# The largest share of traffic that a version may have before it is judged.
+UNJUDGED_SHARE = 0.05
+
+# The largest share at which 30 bad requests still stand out against the old version's traffic of the same time; a
+# rollout that is judged good there goes on to all traffic.
+COMPARED_SHARE = 0.4
+
+
 class ChangeRejectedError(Exception):
     """Report a change that does not fit the catalogue, naming the field at fault."""
 
@@ -66,9 +80,10 @@
 
 
 class DomainState(Enum):
-    """State whether a failure domain takes new work."""
+    """State whether a failure domain takes new work; only an active one does."""
 
     ACTIVE = "active"
+    DRAINING = "draining"
     DRAINED = "drained"
 
 
@@ -161,6 +176,17 @@
     name: DomainName
     state: DomainState = DomainState.ACTIVE
     reason: str = ""
+    # A forced drain is not rolled back for the shortage that its operator has accepted.
+    forced: bool = False
+    # The generation of the drain that led to this state; 0 if no drain did.
+    drain: Generation = Generation(0)
+
+
+class DomainGeneration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Name the generation at which a decision has seen a failure domain."""
+
+    name: DomainName
+    generation: Generation
 
 
 class Version(Entity, frozen=True, kw_only=True):
@@ -182,12 +208,18 @@
     step: int = 0
     state: RolloutState = RolloutState.RUNNING
     reason: str = ""
+    decider: str = ""
 
     @property
     def id(self) -> str:
         """Return the identifier under which hosts join evidence on this rollout."""
         return f"{self.service}:{self.new}:{self.started_ms}"
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the rollout is neither done nor rolled back."""
+        return self.state in (RolloutState.RUNNING, RolloutState.HELD)
+
     @property
     def share(self) -> float:
         """Return the share of traffic that the new version gets."""
@@ -237,9 +269,11 @@
 
 
 class PutFailureDomain(msgspec.Struct, frozen=True, tag="put_failure_domain", forbid_unknown_fields=True):
-    """Create or replace a failure domain; its state says whether it takes new work."""
+    """Create or replace a failure domain, provided that the domains the decision relies on have not changed."""
 
     domain: FailureDomain
+    # Two drains checked at the same time would each count on the other's domain; with this only one is accepted.
+    relies_on: tuple[DomainGeneration, ...] = ()
 
 
 class RemoveFailureDomain(msgspec.Struct, frozen=True, tag="remove_failure_domain", forbid_unknown_fields=True):
@@ -320,6 +354,26 @@
         """Return whether a failure domain takes new work."""
         return self.domains[domain].state is DomainState.ACTIVE
 
+    def generation_of(self, change: Change) -> Generation:
+        """Return the generation of the entity that a change names; 0 if there is none."""
+        entity: Entity | None
+        match change:
+            case PutService(Service(name=name)) | RemoveService(name):
+                entity = self.services.get(name)
+            case PutShardMap(ShardMap(id=id)) | RemoveShardMap(id):
+                entity = self.shard_maps.get(id)
+            case PutUpstream(Upstream(id=id)) | RemoveUpstream(id):
+                entity = self.upstreams.get(id)
+            case PutFailureDomain(FailureDomain(name=name)) | RemoveFailureDomain(name):
+                entity = self.domains.get(name)
+            case PutVersion(version):
+                entity = self.versions.get(f"{version.service}:{version.name}")
+            case RemoveVersion(service, name):
+                entity = self.versions.get(f"{service}:{name}")
+            case PutRollout(rollout):
+                entity = self.rollouts.get(rollout.service)
+        return Generation(0) if entity is None else entity.generation
+
     def apply(self, entry: Entry) -> "Catalogue":
         """Return the catalogue after one more entry; raise ChangeRejectedError if it does not fit."""
         if entry.generation != self.generation + 1:
@@ -359,7 +413,14 @@
             case RemoveUpstream(id):
                 self._require("id", id in self.upstreams, f"no upstream {id!r}")
                 return replace(self, upstreams=_without(self.upstreams, id))
-            case PutFailureDomain(domain):
+            case PutFailureDomain(domain, relies_on):
+                for relied in relies_on:
+                    current = self.domains.get(relied.name)
+                    self._require(
+                        RELIES_ON_FIELD,
+                        current is not None and current.generation == relied.generation,
+                        f"failure domain {relied.name!r} is not at generation {relied.generation}",
+                    )
                 return replace(self, domains=self.domains | {domain.name: _stamp(domain, generation)})
             case RemoveFailureDomain(name):
                 self._require("name", name in self.domains, f"no failure domain {name!r}")
@@ -391,7 +452,12 @@
         if service is None:
             raise ChangeRejectedError("rollout.service", "no such service")
         self._require("rollout.new", f"{rollout.service}:{rollout.new}" in self.versions, "no such version")
-        self._require("rollout.step", 0 <= rollout.step < len(rollout.steps), "no such step")
+        steps = rollout.steps
+        self._require("rollout.step", 0 <= rollout.step < len(steps), "no such step")
+        ascending = all(low < high for low, high in pairwise(steps))
+        self._require("rollout.steps", ascending, "must ascend")
+        self._require("rollout.steps", 0 < steps[0] <= UNJUDGED_SHARE, f"must begin with at most {UNJUDGED_SHARE}")
+        self._require("rollout.steps", steps[-1] <= COMPARED_SHARE, f"must end with at most {COMPARED_SHARE}")
         services = self.services
         if rollout.state is RolloutState.DONE:
             done = msgspec.structs.replace(service, version=rollout.new)
