--- a/hawthornbridge/domains.py
+++ b/hawthornbridge/domains.py
@@ -17,7 +17,7 @@
     HostProgress,
 )
 from hawthornbridge.events import Event, emit
-from hawthornbridge.ids import DomainName, Generation, HostId, OperationId, ServiceName, ShardName
+from hawthornbridge.ids import DomainName, Generation, HostId, MapId, OperationId, ServiceName, ShardName
 from hawthornbridge.model import (
     RELIES_ON_FIELD,
     Catalogue,
@@ -61,10 +61,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardLoad:
-    """Hold the load of one shard in one failure domain, summed over hosts.
+    """Hold the load of one shard in one failure domain.
 
-    `busy` counts sub-requests in flight or waiting, and can exceed `slots`. `replicas` counts the usable upstreams
-    that hold the service's best snapshot.
+    `busy` counts sub-requests in flight or waiting, of every host and at every version; it can exceed `slots`. `slots`
+    and `replicas` count the usable upstreams at the service's present version that hold its best snapshot, since all
+    traffic falls back on these when a rollout is rolled back.
     """
 
     service: ServiceName
@@ -79,7 +80,10 @@
     """Read the load that this host knows of, its own and that heard from other hosts."""
 
     def shard_loads(self) -> Sequence[ShardLoad]:
-        """Return a row per shard of each service's best snapshot and failure domain that has upstreams for it."""
+        """Return the load per service, shard and failure domain; a row that is missing stands for zeros."""
+
+    def serving_maps(self) -> Mapping[ServiceName, MapId]:
+        """Return the shard map of each service's best snapshot; a service without one is left out."""
 
     def in_flight(self, domain: DomainName) -> Mapping[HostId, int]:
         """Return each host's sub-requests in flight in a domain, as of the heartbeat that carried its generation."""
@@ -147,36 +151,28 @@
     retry_s: float = RETRY_S
 
 
-def shortages(catalogue: Catalogue, loads: Iterable[ShardLoad], leaving: Collection[DomainName]) -> list[Shortage]:
+def shortages(catalogue: Catalogue, load: LoadSource, leaving: Collection[DomainName]) -> list[Shortage]:
     """Return the shards of the leaving domains that the remaining active ones cannot carry, worst first.
 
     A shard without upstreams in the leaving domains is left out, since keeping these domains would not help it.
     """
-    touched = {
-        (upstream.service, upstream.shard)
-        for upstream in catalogue.upstreams.values()
-        if upstream.failure_domain in leaving
-    }
     remaining = {name for name in catalogue.domains if catalogue.takes_work(name)}.difference(leaving)
-    sums: dict[tuple[ServiceName, ShardName], Shortage] = {}
-    for load in loads:
-        key = (load.service, load.shard)
-        if key not in touched:
+    sums = {
+        (service, shard): Shortage(service, shard, 0.0, 0, 0)
+        for service, shard in _served_shards(catalogue, load.serving_maps(), leaving)
+    }
+    for row in load.shard_loads():
+        total = sums.get((row.service, row.shard))
+        if total is None:
             continue
-        total = sums.get(key, Shortage(load.service, load.shard, 0.0, 0, 0))
-        stays = load.failure_domain in remaining
-        sums[key] = Shortage(
-            load.service,
-            load.shard,
-            total.busy + load.busy,
-            total.slots + (load.slots if stays else 0),
-            total.replicas + (load.replicas if stays else 0),
+        stays = row.failure_domain in remaining
+        sums[row.service, row.shard] = Shortage(
+            row.service,
+            row.shard,
+            total.busy + row.busy,
+            total.slots + (row.slots if stays else 0),
+            total.replicas + (row.replicas if stays else 0),
         )
-    # Shards of an old map have no rows. A service without any row has an unknown load, which permits no drain.
-    measured = {service for service, _ in sums}
-    for service, shard in touched:
-        if service not in measured:
-            sums[service, shard] = Shortage(service, shard, 0.0, 0, 0)
     short = [total for total in sums.values() if total.replicas == 0 or total.busy > total.slots]
     return sorted(short, key=lambda total: (total.replicas > 0, total.slots - total.busy, total.service, total.shard))
 
@@ -242,7 +238,7 @@
             if force or current is None or current.generation != expected:
                 # A domain that has moved on gives a conflict, or the first result of a repeated operation.
                 return await self._propose(PutFailureDomain(draining), expected, operation_id, force=force)
-            short = shortages(catalogue, self._load.shard_loads(), {name})
+            short = shortages(catalogue, self._load, {name})
             if short:
                 return await self._refuse(draining, expected, operation_id, short)
             relies_on = tuple(
@@ -313,13 +309,12 @@
         self._forget_all_but({(domain.name, domain.generation) for domain in draining})
         if not draining:
             return
-        loads = self._load.shard_loads()
         now_s = anyio.current_time()
         # Giving back the latest domain may be enough for the earlier ones to go on.
         rollback_open = True
         for domain in sorted(draining, key=lambda domain: domain.generation, reverse=True):
             key = (domain.name, domain.generation)
-            short = [] if domain.forced else shortages(catalogue, loads, {domain.name})
+            short = [] if domain.forced else shortages(catalogue, self._load, {domain.name})
             if short:
                 short_s = now_s - self._short_since_s.setdefault(key, now_s)
                 if rollback_open and short_s >= SHORTAGE_CONFIRMED_S:
@@ -420,6 +415,23 @@
             await self._log.wait_for(generation)
 
 
+def _served_shards(
+    catalogue: Catalogue, maps: Mapping[ServiceName, MapId], leaving: Collection[DomainName]
+) -> set[tuple[ServiceName, ShardName]]:
+    served: dict[ServiceName, frozenset[ShardName]] = {}
+    for service, map_id in maps.items():
+        shard_map = catalogue.shard_maps.get(map_id)
+        if shard_map is not None:
+            served[service] = frozenset(shard_map.shards)
+    # Without a best snapshot it is not known which shards are needed, so all of them are.
+    return {
+        (upstream.service, upstream.shard)
+        for upstream in catalogue.upstreams.values()
+        if upstream.failure_domain in leaving
+        and (upstream.service not in served or upstream.shard in served[upstream.service])
+    }
+
+
 def _check_move(
     name: DomainName,
     current: FailureDomain | None,
--- a/tests/operatorfakes.py
+++ b/tests/operatorfakes.py
@@ -68,6 +68,7 @@
 class FakeLoad:
     def __init__(self, busy=0.5, slots=2):
         self.rows = {name: ShardLoad("desk", "s0", name, slots, busy, 1) for name in "abc"}
+        self.maps = {"desk": "m"}
         self.flying = {}
 
     def set(self, domain, slots=2, busy=0.5, replicas=1):
@@ -76,6 +77,9 @@
     def shard_loads(self):
         return list(self.rows.values())
 
+    def serving_maps(self):
+        return self.maps
+
     def in_flight(self, domain):
         return self.flying.get(domain, {})
 
@@ -176,14 +180,14 @@
         self.log = FakeChangeLog(self.head)
         self.moves = DomainMoves(self.log, self.load, "h1")
         self.cuts = []
-        service = OperationsService(
+        self.service = OperationsService(
             self.log,
             self.moves,
             self.load,
             cut=lambda rollout, reason: self.cuts.append((rollout.new, reason)),
             now_ms=lambda: NOW_MS,
         )
-        app = OperatorApp(service, TOKEN, LimitSettings(body_bytes=4_096, read_ms=50), probes)
+        app = OperatorApp(self.service, TOKEN, LimitSettings(body_bytes=4_096, read_ms=50), probes)
         self._server = uvicorn.Server(
             uvicorn.Config(app, port=0, http="httptools", loop="asyncio", lifespan="off", log_config=None)
         )
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -2,9 +2,10 @@
 from pathlib import Path
 
 import pytest
+from operatorfakes import FakeLoad
 
 from hawthornbridge import settings
-from hawthornbridge.deployments import Deployment, DeploymentError, load, plan
+from hawthornbridge.deployments import Deployment, DeploymentError, load as load_deployment, plan
 from hawthornbridge.domains import ShardLoad, shortages
 from hawthornbridge.model import CoverageFirst, LatencyFirst, Upstream, fold
 
@@ -38,7 +39,7 @@
 
 @pytest.mark.parametrize("name", SIZES)
 def test_an_example_of_services_has_the_sizes_of_the_design_page(name):
-    catalogue = fold(load(EXAMPLES / f"{name}-services.jsonc").changes())
+    catalogue = fold(load_deployment(EXAMPLES / f"{name}-services.jsonc").changes())
     sizes = {}
     for shard_map in catalogue.shard_maps.values():
         replicas = [catalogue.replicas(shard_map.service, shard) for shard in shard_map.shards]
@@ -61,12 +62,14 @@
 @pytest.mark.parametrize("domain", "abc")
 def test_any_one_domain_of_an_example_can_be_drained_when_idle(name, domain):
     """Guards against an example whose shards have both replicas in one failure domain."""
-    catalogue = fold(load(EXAMPLES / f"{name}-services.jsonc").changes())
-    loads = [
-        ShardLoad(upstream.service, upstream.shard, upstream.failure_domain, upstream.slots, 0, 1)
+    catalogue = fold(load_deployment(EXAMPLES / f"{name}-services.jsonc").changes())
+    load = FakeLoad()
+    load.maps = {shard_map.service: shard_map.id for shard_map in catalogue.shard_maps.values()}
+    load.rows = {
+        upstream.id: ShardLoad(upstream.service, upstream.shard, upstream.failure_domain, upstream.slots, 0, 1)
         for upstream in catalogue.upstreams.values()
-    ]
-    assert shortages(catalogue, loads, {domain}) == []
+    }
+    assert shortages(catalogue, load, {domain}) == []
 
 
 @pytest.mark.parametrize(
@@ -82,7 +85,7 @@
     path = tmp_path / "deployment.jsonc"
     path.write_text(text)
     with pytest.raises(DeploymentError) as raised:
-        load(path)
+        load_deployment(path)
     assert told in str(raised.value)
 
 
@@ -90,7 +93,7 @@
     """Guards against an apply that overwrites a change it has not seen."""
     values = {"service": "desk", "shard": "s0", "failure_domain": "a", "version": "v1", "address": "127.0.0.1:1"}
     old = Upstream(id="u", slots=1, connections=1, **values)
-    catalogue = fold(load(EXAMPLES / "kottayam-services.jsonc").changes())
+    catalogue = fold(load_deployment(EXAMPLES / "kottayam-services.jsonc").changes())
     deployment = Deployment.of(catalogue)
     assert plan(catalogue, deployment, prune=True) == []
     changed = deployment.upstreams[0]
--- a/tests/test_domains.py
+++ b/tests/test_domains.py
@@ -1,12 +1,11 @@
 import anyio
 import pytest
+from hypothesis import example, given, strategies as st
 from operatorfakes import FakeChangeLog, FakeHead, FakeLoad, catalogue
 
 from hawthornbridge.acceptance import ChangeAccepted, ChangeConflict, ChangeInvalid, ChangeNotAccepted
 from hawthornbridge.domains import CapacityShort, DomainMoves, MoveState, ShardLoad, Shortage, shortages
-from hawthornbridge.model import (
-    DomainState,
-)
+from hawthornbridge.model import DomainState, Entry, PutShardMap, ShardMap
 
 pytestmark = pytest.mark.anyio
 
@@ -47,7 +46,7 @@
 @pytest.mark.parametrize(
     ("rows", "expected"),
     [
-        # Guards against a drain that leaves too few slots, no replica, or whose load is not known at all.
+        # Guards against a drain that leaves too few slots or no replica, and against one whose load is not known.
         ({"a": (2, 1, 1), "b": (2, 0.5, 1), "c": (2, 0.5, 1)}, []),
         ({"a": (2, 3, 1), "b": (2, 1, 1), "c": (2, 1, 1)}, [Shortage("desk", "s0", 5, 4, 2)]),
         ({"a": (2, 0, 1), "b": (2, 0, 0), "c": (2, 0, 0)}, [Shortage("desk", "s0", 0, 4, 0)]),
@@ -55,8 +54,19 @@
     ],
 )
 def test_the_capacity_check_counts_what_remains(rows, expected):
-    loads = [ShardLoad("desk", "s0", name, *figures) for name, figures in rows.items()]
-    assert shortages(catalogue(), loads, {"a"}) == expected
+    load = FakeLoad()
+    load.rows = {name: ShardLoad("desk", "s0", name, *figures) for name, figures in rows.items()}
+    assert shortages(catalogue(), load, {"a"}) == expected
+
+
+@pytest.mark.parametrize(("maps", "count"), [({"desk": "m"}, 1), ({"desk": "m2"}, 0), ({}, 1), ({"desk": "m3"}, 1)])
+def test_only_shards_of_the_best_snapshot_count(maps, count):
+    """Guards against an old map that blocks a drain, and against counting no shard when the map is not known."""
+    load = FakeLoad()
+    load.rows, load.maps = {}, maps
+    whole = catalogue()
+    whole = whole.apply(Entry(9, "op", PutShardMap(ShardMap(id="m2", service="desk", shards=("t0",)))))
+    assert len(shortages(whole, load, {"a"})) == count
 
 
 async def test_a_drain_is_done_only_when_in_force_and_idle():
@@ -260,3 +270,80 @@
             seen.append(progress.state)
         tasks.cancel_scope.cancel()
     assert (seen[0], seen[-1]) == (MoveState.IN_PROGRESS, MoveState.DONE)
+
+
+STEPS = st.one_of(
+    st.tuples(st.just("drain"), st.integers(0, 1), st.sampled_from("abc")),
+    st.tuples(st.just("restore"), st.integers(0, 1), st.sampled_from("abc")),
+    st.tuples(st.just("store"), st.sampled_from([None, "down", "lost", "no_quorum"])),
+    st.tuples(st.just("lag"), st.integers(0, 1), st.booleans()),
+    st.tuples(st.just("host"), st.sampled_from([None, 8, 9]), st.sampled_from([0.0, 2.9, 3.0])),
+    st.tuples(st.just("load"), st.sampled_from("abc"), st.sampled_from([0.2, 1.5]), st.integers(0, 1)),
+    st.tuples(st.just("flying"), st.sampled_from("abc"), st.integers(0, 1)),
+    st.tuples(st.just("wait"), st.sampled_from([0.2, 1.5, 6.0])),
+)
+
+
+async def take(fleet, step, number):
+    match step:
+        case ("drain" | "restore" as call, host, name):
+            current = fleet.logs[host].catalogue.domains[name]
+            await getattr(fleet.moves[host], call)(name, current.generation, f"op-{number}")
+        case ("store", fault):
+            fleet.head.fault = fault
+        case ("lag", host, frozen):
+            fleet.logs[host].frozen = frozen
+        case ("host", generation, silent_s):
+            fleet.set_host("h3", generation, silent_s)
+        case ("load", name, busy, replicas):
+            fleet.load.set(name, slots=2 * replicas, busy=busy, replicas=replicas)
+        case ("flying", name, count):
+            fleet.load.flying[name] = {"h1": count}
+        case ("wait", seconds):
+            await anyio.sleep(seconds)
+
+
+def check_entry(fleet, entry):
+    """Check what must hold at the moment a change is accepted."""
+    domain = entry.change.domain
+    match domain.state:
+        case DomainState.DRAINING:
+            assert shortages(fleet.head.catalogue, fleet.load, {domain.name}) == []
+        case DomainState.DRAINED:
+            hosts = fleet.logs[0].hosts["h3"]
+            applied = "h3" in fleet.logs[0].following or hosts.generation >= domain.drain or hosts.silent_s >= 3.0
+            assert applied
+            assert not any(fleet.load.in_flight(domain.name).values())
+
+
+@example([("drain", 0, "a"), ("wait", 6.0)], True, None)
+@given(st.lists(STEPS, max_size=15), st.booleans(), st.sampled_from([None, 8]))
+async def test_moves_keep_their_promises_under_any_faults(steps, flying, generation):
+    """Guards against combinations of faults: no drain without capacity, none done early, none that never ends."""
+    fleet = Fleet()
+    fleet.set_host("h3", generation)
+    fleet.load.flying = {name: {"h1": int(flying)} for name in "abc"}
+    propose = fleet.head.propose
+
+    def checked(*arguments):
+        count = len(fleet.head.entries)
+        outcome = propose(*arguments)
+        if len(fleet.head.entries) > count:
+            check_entry(fleet, fleet.head.entries[-1])
+        return outcome
+
+    fleet.head.propose = checked
+    async with anyio.create_task_group() as tasks:
+        for moves in fleet.moves:
+            tasks.start_soon(moves.run)
+        for number, step in enumerate(steps):
+            await take(fleet, step, number)
+        fleet.head.fault = None
+        fleet.set_host("h3")
+        fleet.load.flying = {}
+        for log in fleet.logs:
+            log.frozen = False
+        await anyio.sleep(60)
+        states = {domain.state for domain in fleet.head.catalogue.domains.values()}
+        tasks.cancel_scope.cancel()
+    assert DomainState.DRAINING not in states
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,4 +1,5 @@
 import socket
+import time
 from types import SimpleNamespace
 
 import httpcore
@@ -223,6 +224,20 @@
     assert end.state is pb.MoveState.DONE
 
 
+def test_a_watch_that_its_client_has_left_makes_room(host, client, monkeypatch):
+    """Guards against watches that add up until the host refuses all of them."""
+    monkeypatch.setattr(operators, "WATCHES", 1)
+    request = pb.WatchRequest(generation=10_000)
+    first = client.watch(request)
+    next(first)
+    with pytest.raises(ConnectError) as raised:
+        next(client.watch(request))
+    assert raised.value.code is Code.RESOURCE_EXHAUSTED
+    first.close()
+    while host.service._watches:
+        time.sleep(0.005)
+
+
 @pytest.mark.parametrize(
     "request_",
     [
