Test failure-domain moves over the real configuration

Cause: the moves rely on the change log settling an operation id before it checks a change, and on a refusal that names relies_on.

Change: a test runs racing drains, a repeated drain and a killed host over three hosts with the real configuration on a virtual clock. The generation of an entity comes from Catalogue.generation_of instead of a copy of it.

Conclusion: the configuration keeps what the fake promises.

--- a/hawthornbridge/commandline.py
+++ b/hawthornbridge/commandline.py
@@ -47,7 +47,7 @@
     Start,
     Watch,
 )
-from hawthornbridge.deployments import Deployment, DeploymentError, entity_generation, load, plan
+from hawthornbridge.deployments import Deployment, DeploymentError, load, plan
 from hawthornbridge.domains import CapacityShort
 from hawthornbridge.ids import DomainName, Generation, MapId, OperationId, ServiceName, UpstreamId, VersionName
 from hawthornbridge.model import (
@@ -175,7 +175,7 @@
             case Put() | Remove():
                 change = _parse_change(command)
                 request = pb.ChangeRequest(change=change_to_wire(change))
-                return self._change(command, "change", request, lambda seen: entity_generation(seen, change))
+                return self._change(command, "change", request, lambda seen: seen.generation_of(change))
             case Drain() | Restore():
                 return self._move(command)
             case Rollout(command=Start() as start):
@@ -213,7 +213,7 @@
         request = pb.MoveFailureDomainRequest(failure_domain=name, reason=command.reason)
         method = "drain_failure_domain" if isinstance(command, Drain) else "restore_failure_domain"
         watch = pb.WatchRequest(move=_domain_move(command.name))
-        return self._change(command, method, request, lambda seen: entity_generation(seen, change), watch)
+        return self._change(command, method, request, lambda seen: seen.generation_of(change), watch)
 
     def _start(self, command: Start) -> ExitCode:
         try:
@@ -452,7 +452,7 @@
     match outcome:
         case ChangeAccepted(generation, repeated, forced):
             notes = ", accepted by an earlier call" if repeated else ""
-            notes += ", without a quorum" if forced else ""
+            notes += ", forced" if forced else ""
             return ExitCode.OK, "accepted", f"is generation {generation}{notes}"
         case ChangeInvalid(field, detail):
             return ExitCode.INVALID, "invalid", f"does not fit: {field}: {detail}"
--- a/hawthornbridge/deployments.py
+++ b/hawthornbridge/deployments.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, TypeAlias
+from typing import Any
 
 import jsonc
 import msgspec
@@ -11,9 +11,9 @@
 from hawthornbridge.model import (
     Catalogue,
     Change,
+    Entity,
     FailureDomain,
     PutFailureDomain,
-    PutRollout,
     PutService,
     PutShardMap,
     PutUpstream,
@@ -29,9 +29,7 @@
     Version,
 )
 
-__all__ = ["Deployment", "DeploymentError", "PlannedChange", "entity_generation", "load", "plan"]
-
-Named: TypeAlias = Service | ShardMap | Upstream | FailureDomain | Version | None
+__all__ = ["Deployment", "DeploymentError", "PlannedChange", "load", "plan"]
 
 
 class DeploymentError(Exception):
@@ -102,31 +100,7 @@
     changes = [change for change in changes if not _holds(catalogue, change)]
     if prune:
         changes += _removals(catalogue, deployment)
-    return [PlannedChange(change, entity_generation(catalogue, change)) for change in changes]
-
-
-def entity_generation(catalogue: Catalogue, change: Change) -> Generation:
-    """Return the generation of the entity that a change names; 0 if there is none."""
-    if isinstance(change, PutRollout):
-        rollout = catalogue.rollouts.get(change.rollout.service)
-        return rollout.generation if rollout else Generation(0)
-    entity = _named(catalogue, change)
-    return entity.generation if entity is not None else Generation(0)
-
-
-def _named(catalogue: Catalogue, change: Change) -> Named:
-    match change:
-        case PutService(Service(name=name)) | RemoveService(name):
-            return catalogue.services.get(name)
-        case PutShardMap(ShardMap(id=map_id)) | RemoveShardMap(map_id):
-            return catalogue.shard_maps.get(map_id)
-        case PutUpstream(Upstream(id=upstream_id)) | RemoveUpstream(upstream_id):
-            return catalogue.upstreams.get(upstream_id)
-        case PutFailureDomain(FailureDomain(name=domain_name)) | RemoveFailureDomain(domain_name):
-            return catalogue.domains.get(domain_name)
-        case PutVersion(Version(service=service, name=version)) | RemoveVersion(service, version):
-            return catalogue.versions.get(f"{service}:{version}")
-    return None
+    return [PlannedChange(change, catalogue.generation_of(change)) for change in changes]
 
 
 def _keeping_version(catalogue: Catalogue, change: Change) -> Change:
@@ -138,15 +112,19 @@
 
 
 def _holds(catalogue: Catalogue, change: Change) -> bool:
-    current = _named(catalogue, change)
-    if current is None:
-        return False
     match change:
-        case PutFailureDomain():
-            # A file holds only the name; the state belongs to drain and restore.
-            return True
-        case PutService(entity) | PutShardMap(entity) | PutUpstream(entity) | PutVersion(entity):
-            return _unstamped(current) == _unstamped(entity)
+        case PutService(service):
+            current: Entity | None = catalogue.services.get(service.name)
+            return current is not None and _unstamped(current) == _unstamped(service)
+        case PutShardMap(shard_map):
+            current = catalogue.shard_maps.get(shard_map.id)
+            return current is not None and _unstamped(current) == _unstamped(shard_map)
+        case PutUpstream(upstream):
+            current = catalogue.upstreams.get(upstream.id)
+            return current is not None and _unstamped(current) == _unstamped(upstream)
+        case PutFailureDomain() | PutVersion():
+            # A file holds only their names; the state of a domain belongs to drain and restore.
+            return catalogue.generation_of(change) > 0
     return False
 
 
--- a/tests/operatorfakes.py
+++ b/tests/operatorfakes.py
@@ -16,7 +16,6 @@
     HostProgress,
     QuorumMissing,
 )
-from hawthornbridge.deployments import entity_generation
 from hawthornbridge.domains import DomainMoves, ShardLoad
 from hawthornbridge.model import (
     Catalogue,
@@ -39,30 +38,31 @@
 NOW_MS = 1_000_000
 
 
+CHANGES = [
+    *(PutFailureDomain(FailureDomain(name=name)) for name in "abc"),
+    PutService(Service(name="desk", routes=(), classes=(), version="v1")),
+    PutShardMap(ShardMap(id="m", service="desk", shards=("s0",))),
+    *(
+        PutUpstream(
+            Upstream(
+                id=f"u-{name}",
+                service="desk",
+                shard="s0",
+                failure_domain=name,
+                version="v1",
+                address="127.0.0.1:1",
+                slots=2,
+                connections=25,
+            )
+        )
+        for name in "abc"
+    ),
+]
+
+
 def catalogue():
     """One shard with an upstream in each of the domains a, b and c, whose generations are 1, 2 and 3."""
-    return fold(
-        [
-            *(PutFailureDomain(FailureDomain(name=name)) for name in "abc"),
-            PutService(Service(name="desk", routes=(), classes=(), version="v1")),
-            PutShardMap(ShardMap(id="m", service="desk", shards=("s0",))),
-            *(
-                PutUpstream(
-                    Upstream(
-                        id=f"u-{name}",
-                        service="desk",
-                        shard="s0",
-                        failure_domain=name,
-                        version="v1",
-                        address="127.0.0.1:1",
-                        slots=2,
-                        connections=25,
-                    )
-                )
-                for name in "abc"
-            ),
-        ]
-    )
+    return fold(CHANGES)
 
 
 class FakeLoad:
@@ -108,7 +108,7 @@
         for entry in self.entries:
             if entry.operation_id == operation_id:
                 return ChangeAccepted(entry.generation, True, False)
-        current = entity_generation(self.catalogue, change)
+        current = self.catalogue.generation_of(change)
         if current != expected:
             winner = next((entry for entry in self.entries if entry.generation == current), None)
             return ChangeConflict(current, winner)
--- a/tests/test_domains.py
+++ b/tests/test_domains.py
@@ -1,11 +1,12 @@
 import anyio
 import pytest
 from hypothesis import example, given, strategies as st
-from operatorfakes import FakeChangeLog, FakeHead, FakeLoad, catalogue
+from operatorfakes import CHANGES, FakeChangeLog, FakeHead, FakeLoad, catalogue
 
 from hawthornbridge.acceptance import ChangeAccepted, ChangeConflict, ChangeInvalid, ChangeNotAccepted
 from hawthornbridge.domains import CapacityShort, DomainMoves, MoveState, ShardLoad, Shortage, shortages
 from hawthornbridge.model import DomainState, Entry, PutShardMap, ShardMap
+from standins.fleet import Fleet as ControlFleet
 
 pytestmark = pytest.mark.anyio
 
@@ -347,3 +348,38 @@
         states = {domain.state for domain in fleet.head.catalogue.domains.values()}
         tasks.cancel_scope.cancel()
     assert DomainState.DRAINING not in states
+
+
+async def test_racing_drains_and_a_killed_host_over_the_real_configuration():
+    """Guards against a change log that differs from the fake in what the moves rely on."""
+    async with anyio.create_task_group() as tasks:
+        fleet = ControlFleet(tasks, 3)
+        fleet.start_all(3)
+        await anyio.sleep(3)
+        log = fleet.controls["h0"].configuration
+        for number, change in enumerate(CHANGES):
+            assert isinstance(await log.propose(change, 0, f"build-{number}"), ChangeAccepted)
+        await anyio.sleep(2)
+        load = FakeLoad(busy=1)
+        moves = {name: DomainMoves(fleet.controls[name].configuration, load, name) for name in ("h0", "h1", "h2")}
+        outcomes = {}
+
+        async def drain(host, name, expected):
+            outcomes[name] = await moves[host].drain(name, expected, f"op-{name}")
+
+        async with anyio.create_task_group() as racing:
+            racing.start_soon(drain, "h0", "a", 1)
+            racing.start_soon(drain, "h1", "b", 2)
+        assert {type(outcome) for outcome in outcomes.values()} == {ChangeAccepted, CapacityShort}
+        (name,) = (name for name, outcome in outcomes.items() if isinstance(outcome, ChangeAccepted))
+        generation = outcomes[name].generation
+        repeated = await moves["h2"].drain(name, " ab".index(name), f"op-{name}")
+        assert repeated == ChangeAccepted(generation, True, False)
+        fleet.kill("h0")
+        tasks.start_soon(moves["h1"].run)
+        tasks.start_soon(moves["h2"].run)
+        with anyio.fail_after(10):
+            async for progress in moves["h2"].watch(name, generation):
+                state = progress.state
+        tasks.cancel_scope.cancel()
+    assert state is MoveState.DONE
