Send to a ready peer without a wake-up from the library's thread

Cause: a send through asend allocates an operation and wakes the loop from a thread, although almost every send succeeds at once. Change: try a non-blocking send first; let the measured hosts end cleanly.

--- a/hawthornbridge/peers.py
+++ b/hawthornbridge/peers.py
@@ -56,7 +56,11 @@
             push = pynng.Push0(send_buffer_size=0, reconnect_time_min=100, reconnect_time_max=500)
             self._pushes[address] = push
             push.dial(f"tcp://{address}", block=False)
-        await _under_scopes(push.asend(data))
+        try:
+            # Most sends succeed at once, and so need no wake-up from a thread of the library.
+            push.send(data, block=False)
+        except pynng.TryAgain:
+            await _under_scopes(push.asend(data))
 
     async def receive(self) -> bytes:
         """Return the next message from any peer."""
--- a/measure/control.py
+++ b/measure/control.py
@@ -86,7 +86,7 @@
             if pipe.poll():
                 command = pipe.recv()
                 if command == "stop":
-                    raise SystemExit
+                    return
                 pipe.send(_reading(control))
 
     async def run() -> None:
@@ -94,6 +94,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(control.run)
             await answer(control)
+            tasks.cancel_scope.cancel()
 
     anyio.run(run)
 
