--- a/hawthornbridge/peers.py
+++ b/hawthornbridge/peers.py
@@ -164,6 +164,7 @@
         """Hold links to exactly these addresses."""
         for address in sorted(self._peers.keys() - set(addresses)):
             self._peers.pop(address).scope.cancel()
+        # Sorted, so that a run repeats whatever the hash seed of the process.
         for address in sorted(set(addresses) - self._peers.keys()):
             peer = self._peers[address] = _Peer(address)
             if self._tasks is not None:
