--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -17,12 +17,11 @@
     ChangeUncertain,
     QuorumMissing,
 )
-from hawthornbridge.confighead import HEAD_KEY, Head
+from hawthornbridge.confighead import HEAD_KEY, Head, encode_folded
 from hawthornbridge.freshness import Fresh
 from hawthornbridge.ids import DomainName, Generation, OperationId
-from hawthornbridge.messages import Entries
+from hawthornbridge.messages import BaseChunk, Entries
 from hawthornbridge.model import Catalogue, FailureDomain, PutFailureDomain, RemoveFailureDomain
-from hawthornbridge.store import Found
 from standins.fleet import Fleet
 from standins.memorystore import Fault
 
@@ -360,18 +359,63 @@
 
 @scenario
 async def test_a_store_restored_from_an_old_backup_reverts_nothing(fleet, check):
-    """Guards against reversion to what an old backup of the store holds."""
-    old = fleet.state.read(HEAD_KEY)
+    """Guards against reversion to what an old backup of the store holds, whether it is read or watched."""
+    old = fleet.state.read(HEAD_KEY).value
     assert isinstance(await check.propose("h1", 1, 1), ChangeAccepted)
-    current = fleet.state.read(HEAD_KEY)
-    assert isinstance(old, Found)
-    fleet.state.write(HEAD_KEY, old.value, current.revision, None)
-    await anyio.sleep(5)
+    await anyio.sleep(1)
+    current = fleet.state.read(HEAD_KEY).value
+    for phase in range(8):
+        fleet.state.write(HEAD_KEY, current, fleet.state.read(HEAD_KEY).revision, None)
+        await anyio.sleep(3 + phase * 0.07)
+        assert set(reasons(fleet).values()) == {"Fresh"}
+        fleet.state.write(HEAD_KEY, old, fleet.state.read(HEAD_KEY).revision, None)
+        await anyio.sleep(4)
+        assert set(reasons(fleet).values()) == {"ContinuedByQuorum"}
     assert {control.configuration.generation for control in fleet.running} == {2}
-    assert set(reasons(fleet).values()) == {"ContinuedByQuorum"}
     assert isinstance(await check.propose("h1", 1, 2), ChangeNotAccepted)
 
 
+@scenario
+async def test_late_messages_revert_nothing(fleet, check):
+    """Guards against an old base or old entries from a peer that replace newer ones."""
+    old = fleet.controls["h1"].configuration._folded
+    assert isinstance(await check.propose("h1", 1, 1), ChangeAccepted)
+    await anyio.sleep(1)
+    host = fleet.controls["h4"]
+    for kind, message in [
+        (BaseChunk, BaseChunk("h1", "h1", old.generation, 0, 1, encode_folded(old))),
+        (Entries, Entries("h1", (history_of(fleet)[1],))),
+    ]:
+        for handler in host.peers._handlers[kind]:
+            handler(message)
+    assert host.configuration.generation == 2
+
+
+def test_a_watch_is_no_contact():
+    """Guards against freshness from a watch, which may lag and so misses a change without saying so."""
+
+    async def main(tasks):
+        fleet = Fleet(tasks, 1)
+        read_s = []
+
+        def note(kind):
+            if kind == "get" and anyio.current_time() > 2:
+                return Fault.UNAVAILABLE
+            if kind == "get":
+                read_s.append(anyio.current_time())
+            return Fault.NONE
+
+        host = fleet.start("h0", 0).configuration
+        fleet.stores["h0"].faults.choose = note
+        await anyio.sleep(1)
+        assert isinstance(await host.propose(put("d0"), Generation(0), operation("a")), ChangeAccepted)
+        while anyio.current_time() < 4:
+            await anyio.sleep(0.03)
+            assert host.may_serve().age_s >= anyio.current_time() - read_s[-1]
+
+    run_virtual(main)
+
+
 @scenario
 async def test_a_host_that_lacks_entries_is_not_fresh_by_its_peers(fleet, check):
     """Guards against a host that hears recent contacts with the store but not what was read there."""
@@ -387,9 +431,11 @@
 @scenario
 async def test_an_accepted_change_reaches_all_at_once_though_the_store_goes_down(fleet, check):
     """Guards against dissemination that needs the store after acceptance."""
+    fleet.network.faults.delay_s = 0.02
     assert isinstance(await check.propose("h3", 1, 1), ChangeAccepted)
     fleet.break_store(set(NAMES))
-    with anyio.fail_after(0.1):
+    # One hop; the repair through heartbeats would take three.
+    with anyio.fail_after(0.03):
         for control in fleet.running:
             await control.configuration.wait_for(Generation(2))
     await anyio.sleep(0.1)
