Measure an exchange against a leaf in another process

Cause: a leaf on another thread shares the interpreter lock, which blurs the processor time of the measured thread.

Change: the leaf runs in a process of its own.

--- a/measure/exchange.py
+++ b/measure/exchange.py
@@ -1,10 +1,11 @@
 """Measure the processor time of one exchange through a connection group."""
 
 import asyncio
-import threading
+import multiprocessing
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from multiprocessing.connection import Connection
 
 import anyio
 
@@ -28,32 +29,28 @@
 WARM_UP_EXCHANGES = 500
 
 
+async def _serve(address: Connection) -> None:
+    leaf = Leaf(shard="s0", service_ms=0.0)
+    await leaf.start()
+    address.send(leaf.server.address)
+    await asyncio.Event().wait()
+
+
+def _run_leaf(address: Connection) -> None:
+    asyncio.run(_serve(address))
+
+
 @contextmanager
-def leaf_thread() -> Iterator[str]:
-    """Run a fast stand-in leaf on another thread, so that its processor time is not counted; yield its address."""
-    address: list[str] = []
-    started = threading.Event()
-    stop: list[asyncio.Event] = []
-    loops: list[asyncio.AbstractEventLoop] = []
-
-    async def serve() -> None:
-        leaf = Leaf(shard="s0", service_ms=0.0)
-        await leaf.start()
-        stop.append(asyncio.Event())
-        loops.append(asyncio.get_running_loop())
-        address.append(leaf.server.address)
-        started.set()
-        await stop[0].wait()
-        await leaf.stop()
-
-    thread = threading.Thread(target=lambda: asyncio.run(serve()))
-    thread.start()
-    started.wait()
+def leaf_process() -> Iterator[str]:
+    """Run a fast stand-in leaf in another process, so that it shares no interpreter lock; yield its address."""
+    here, there = multiprocessing.Pipe()
+    process = multiprocessing.get_context("spawn").Process(target=_run_leaf, args=(there,), daemon=True)
+    process.start()
     try:
-        yield address[0]
+        yield here.recv()
     finally:
-        loops[0].call_soon_threadsafe(stop[0].set)
-        thread.join()
+        process.terminate()
+        process.join()
 
 
 async def measure(address: str, exchanges: int) -> float:
@@ -95,7 +92,7 @@
 
 def main() -> None:
     """Print the processor time of an exchange, best and median of five rounds."""
-    with leaf_thread() as address:
+    with leaf_process() as address:
         rounds = sorted(anyio.run(measure, address, EXCHANGES) for _ in range(5))
     print(f"exchange: best {rounds[0] * 1e6:.0f} us, median {rounds[2] * 1e6:.0f} us of processor time")
 
