Guard a draining refusal against a status under way

A notice from the peers' messages carries no reason.

Change: a test for that status; a notice without a reason says "peer".

Conclusion: the hold after a refusal is covered.

--- a/hawthornbridge/allowance.py
+++ b/hawthornbridge/allowance.py
@@ -41,6 +41,7 @@
     LATENCY_STEP = "latency_step"
     SHED = "shed"
     RESTORED = "restored"
+    PEER = "peer"
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +56,7 @@
     incarnation: Incarnation
     falls: int
     allowance: int
-    reason: Reason
+    reason: Reason = Reason.PEER
 
 
 class Ramp(Protocol):
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -270,6 +270,18 @@
         assert running.usable() == {"u1", "u2"}
 
 
+async def test_a_status_that_was_under_way_does_not_take_back_a_refusal():
+    """Guards against new work for a leaving upstream after a status that lags by a second."""
+    async with Table() as running:
+        state = running.state("u1")
+        state.observe(UpstreamRefusal(UpstreamRefusalKind.DRAINING, Execution.NOT_RUN), 0.01)
+        state.take_status(STATUS)
+        assert state.draining
+        await anyio.sleep(REFUSAL_HOLD_S)
+        state.take_status(STATUS)
+        assert not state.draining
+
+
 async def test_a_shedding_upstream_is_avoided_while_another_is_usable():
     async with Table(ramp=NoRamp(0, SEATS)) as running:
         running.leaf("u1").outcome = UpstreamRefusal(UpstreamRefusalKind.SHED, Execution.NOT_RUN)
