--- a/hawthornbridge/allowance.py
+++ b/hawthornbridge/allowance.py
@@ -42,6 +42,7 @@
     LATENCY_STEP = "latency_step"
     SHED = "shed"
     RESTORED = "restored"
+    PEER = "peer"
 
 
 class AllowanceNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -55,7 +56,7 @@
     incarnation: Incarnation
     falls: int
     allowance: int
-    reason: Reason
+    reason: Reason = Reason.PEER
 
 
 class Ramp(Protocol):
