--- a/hawthornbridge/daemon.py
+++ b/hawthornbridge/daemon.py
@@ -30,12 +30,6 @@
 __all__ = ["Daemon", "main"]
 
 
-class _Table(UpstreamTable):
-    """Hedge to any usable replica; to be dropped once the table tells cold replicas apart by itself."""
-
-    choose_hedge = UpstreamTable.choose
-
-
 class Daemon:
     """Run one host: its listeners, its upstream connections and its control tasks."""
 
@@ -46,7 +40,7 @@
         protocol = lookup(Kind.UPSTREAM_PROTOCOL, plugins.upstream_protocol)()
         choice = lookup(Kind.REPLICA_CHOICE, plugins.replica_choice)
         self._metrics = Metrics()
-        self._table = _Table(protocol, choice, settings.host.seats)
+        self._table = UpstreamTable(protocol, choice, settings.host.seats)
         hedge_policy = lookup(Kind.HEDGING, plugins.hedging)(limits.hedge_share, limits.retry_share)
         searcher = Searcher(self._table, self._present, hedge_policy, metrics=self._metrics)
         self._admission = lookup(Kind.ADMISSION, plugins.admission)(limits.concurrent_queries)
