Judge no version by what was never sent, and watch signals in the daemon

Cause: the table now refuses work that it has not sent as queue_full, leaving or cold; the searcher counted these as failures of the version and charged them to the retry budget. Nothing showed that a signal reaches the planned stop. Change: failures with not_run are retried without budget and not recorded; a full queue counts as a shed. The daemon watches SIGTERM and SIGINT before it serves, and is ready only while it serves and stays. Conclusion: a good version is not cut because its upstreams are cold or full.

--- a/hawthornbridge/daemon.py
+++ b/hawthornbridge/daemon.py
@@ -27,7 +27,7 @@
 from hawthornbridge.stopping import Stop
 from hawthornbridge.upstreams import UpstreamTable
 
-__all__ = ["Daemon", "main"]
+__all__ = ["Daemon", "main", "run_until_stopped"]
 
 
 class Daemon:
@@ -47,6 +47,12 @@
         self._queries = QueryPath(self._present, self._admission, searcher, self._metrics)
         self._stop = Stop(settings.address_valid_ms / 1_000)
         self._random = random.Random()
+        self._serving = False
+
+    @property
+    def serving(self) -> bool:
+        """Return whether callers may connect."""
+        return self._serving
 
     @property
     def leaving(self) -> bool:
@@ -59,13 +65,14 @@
         interface = lookup(Kind.CALLER_INTERFACE, settings.plugins.caller_interface)
         callers_app = interface(self, settings.limits, settings.address_valid_ms)
         entry = Listener(callers_app, settings.listeners.callers, settings.limits)
-        probes = ProbeApp(self._metrics, lambda: not self.leaving)
+        probes = ProbeApp(self._metrics, lambda: self.serving and not self.leaving)
         operators = Listener(probes, settings.listeners.operators, settings.limits)
         async with anyio.create_task_group() as tasks:
             self._table.apply(self._catalogue, tasks)
             await tasks.start(operators.run)
             await tasks.start(entry.run)
             emit(Event.DAEMON_STARTED, host=settings.host.id)
+            self._serving = True
             task_status.started()
             cut = await self._stop.run(entry, leave=entry.close_after_answers)
             # Operators may watch the stop until its end.
@@ -101,15 +108,17 @@
         return self._catalogue
 
 
-async def _run_until_stopped(daemon: Daemon) -> None:
+async def run_until_stopped(daemon: Daemon) -> None:
+    """Run a daemon until SIGTERM or SIGINT has stopped it; a second signal shortens the stop."""
     async with anyio.create_task_group() as tasks:
 
-        async def watch_signals() -> None:
+        async def watch_signals(*, task_status: anyio.abc.TaskStatus[None]) -> None:
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                task_status.started()
                 async for _ in signals:
                     daemon.stop()
 
-        tasks.start_soon(watch_signals)
+        await tasks.start(watch_signals)
         await daemon.run()
         tasks.cancel_scope.cancel()
 
@@ -135,7 +144,7 @@
     if command.check is not None:
         print(f"{path}: settings are valid")
         return
-    anyio.run(_run_until_stopped, Daemon(settings, Catalogue()))
+    anyio.run(run_until_stopped, Daemon(settings, Catalogue()))
 
 
 if __name__ == "__main__":
--- a/hawthornbridge/listeners.py
+++ b/hawthornbridge/listeners.py
@@ -32,6 +32,8 @@
     _reading_head = False
     _head_bytes = 0
     _closing = False
+    # Set here too, because input may be refused before the parser sees a request begin.
+    url = b""
     _refused: bytes | None = None
     _timer: asyncio.TimerHandle | None = None
 
--- a/hawthornbridge/search.py
+++ b/hawthornbridge/search.py
@@ -272,7 +272,7 @@
                     return
                 case UpstreamRefusal(UpstreamRefusalKind.DEADLINE) | UpstreamFailure(FailureKind.TIMEOUT):
                     return
-                case UpstreamFailure(FailureKind.CONNECT, Execution.NOT_RUN):
+                case UpstreamFailure(execution=Execution.NOT_RUN):
                     # Nothing was sent, so trying another replica adds no load and needs no budget.
                     budget_due = False
                 case _:
@@ -380,7 +380,10 @@
                 work.sheds += 1
             case UpstreamRefusal(UpstreamRefusalKind.DEADLINE):
                 self._report(service, route, version, latency_s, failed=True)
-            case UpstreamFailure(kind) if kind is not FailureKind.CONNECT:
+            case UpstreamFailure(FailureKind.QUEUE_FULL):
+                work.sheds += 1
+            case UpstreamFailure(execution=Execution.UNKNOWN):
+                # What was never sent says nothing about the upstream's version.
                 self._report(service, route, version, latency_s, failed=True)
         return outcome
 
--- a/tests/fake_table.py
+++ b/tests/fake_table.py
@@ -34,6 +34,7 @@
 
 SERVICE = ServiceName("pattern-desk")
 ROUTE = RouteName("lookup")
+NOT_SENT = ("connect", "queue_full", "leaving", "cold")
 DEFAULT_CLASSES = (ClassLimits(ClassName("default")),)
 
 
@@ -101,7 +102,7 @@
 
 
 def failure(kind):
-    execution = Execution.NOT_RUN if kind == "connect" else Execution.UNKNOWN
+    execution = Execution.NOT_RUN if kind in NOT_SENT else Execution.UNKNOWN
     return UpstreamFailure(FailureKind(kind), execution, kind)
 
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,9 +1,11 @@
+import signal
+
 import anyio
 import httpcore
 import msgspec
 import pytest
 
-from hawthornbridge.daemon import Daemon
+from hawthornbridge.daemon import Daemon, run_until_stopped
 from hawthornbridge.ids import ClassName, DomainName, MapId, RouteName, ServiceName, ShardName, UpstreamId, VersionName
 from hawthornbridge.model import (
     ClassLimits,
@@ -77,6 +79,12 @@
     return fold(changes)
 
 
+async def get(address, path):
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request("GET", f"http://{address}{path}")
+        return response.status, response.content
+
+
 async def post(address, path, body):
     async with httpcore.AsyncConnectionPool() as pool:
         response = await pool.request("POST", f"http://{address}{path}", content=msgspec.json.encode(body))
@@ -158,3 +166,23 @@
         await leaf.stop()
     assert set(outcomes) == {(200, True)}
     assert any(asked_late)
+
+
+@pytest.mark.anyio
+async def test_a_signal_begins_the_planned_stop(free_port):
+    """Guards against a server library that takes the signal and stops at once."""
+    settings = settings_for(free_port, address_valid_ms=100)
+    daemon = Daemon(settings, catalogue_for([]))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_until_stopped, daemon)
+        with anyio.fail_after(5):
+            while not daemon.serving:
+                await anyio.sleep(0.01)
+            before = (await get(settings.listeners.operators, "/readyz"))[0]
+            signal.raise_signal(signal.SIGTERM)
+            while not daemon.leaving:
+                await anyio.sleep(0.01)
+            during = (await get(settings.listeners.operators, "/readyz"))[0]
+            addresses = (await get(settings.listeners.callers, "/v1/addresses"))[1]
+    assert (before, during) == (200, 503)
+    assert msgspec.json.decode(addresses)["addresses"] == []
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 import trio.testing
-from fake_table import SERVICE, FakeReplica, FakeTable, catalogue, failure, refusal, reply, request, upstream
+from fake_table import NOT_SENT, SERVICE, FakeReplica, FakeTable, catalogue, failure, refusal, reply, request, upstream
 from hypothesis import given, strategies as st
 
 from hawthornbridge.hedging import NaivePolicy, QuantileHedging, UnhedgedPolicy
@@ -42,7 +42,7 @@
         kind: lambda r, s, k=kind: refusal(k)
         for kind in ("shed", "draining", "snapshot_gone", "deadline", "cancelled")
     },
-    **{kind: lambda r, s, k=kind: failure(k) for kind in ("connect", "reset", "bad_reply", "error")},
+    **{kind: lambda r, s, k=kind: failure(k) for kind in (*NOT_SENT, "reset", "bad_reply", "error")},
 }
 
 
@@ -149,6 +149,41 @@
     assert answer.coverage.answered == answered
 
 
+@pytest.mark.parametrize("kind", NOT_SENT)
+@pytest.mark.anyio
+async def test_what_was_never_sent_costs_no_retry(kind):
+    """Guards against lost shards when the budget is spent but another replica is free."""
+    calls = iter([failure(kind)])
+    table = FakeTable(replicas(["s0"]), lambda r, s: (0.001, next(calls, None) or reply(r, s)))
+    config = catalogue({"m1": ("s0",)})
+    answer = await Searcher(table, lambda: config, UnhedgedPolicy(0.0, 0.0)).search(request())
+    assert (answer.coverage.answered, answer.sheds) == (1, int(kind == "queue_full"))
+
+
+@pytest.mark.parametrize(
+    ("fault", "recorded"),
+    [
+        ("ok", [False]),
+        ("shed", []),
+        ("draining", []),
+        ("snapshot_gone", []),
+        ("cancelled", []),
+        *((kind, []) for kind in NOT_SENT),
+        ("deadline", [True]),
+        ("reset", [True]),
+        ("error", [True]),
+        ("other_snapshot", [True]),
+    ],
+)
+@pytest.mark.anyio
+async def test_only_what_a_version_did_is_recorded_against_it(fault, recorded):
+    """Guards against a good version that is cut because its upstreams were full or cold."""
+    results = []
+    table = FakeTable(replicas(["s0"], 1), lambda r, s: (0.001, FAULTS[fault](r, s)))
+    await searcher(table, {"m1": ("s0",)}, record=lambda *result: results.append(result)).search(request())
+    assert [failed for *_, failed in results] == recorded
+
+
 @pytest.mark.parametrize(("policy", "answered"), [(LatencyFirst(), 0), (CoverageFirst(), 1)])
 @pytest.mark.anyio
 async def test_coverage_first_asks_again_until_the_deadline(policy, answered):
