--- a/hawthornbridge/daemon.py
+++ b/hawthornbridge/daemon.py
@@ -20,7 +20,7 @@
 from hawthornbridge.settings import Settings, SettingsError, load
 from hawthornbridge.stopping import Stop
 
-__all__ = ["Daemon", "main"]
+__all__ = ["Daemon", "main", "run_until_stopped"]
 
 # The longest time that a stop waits for the outcomes of executions to be recorded.
 SETTLE_S = 5.0
@@ -33,8 +33,14 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._stop = Stop(settings.address_valid_ms / 1_000)
+        self._started = anyio.Event()
         self._stopped = anyio.Event()
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._stop.leaving
+
     async def run(self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until a planned stop is complete."""
         settings = self._settings
@@ -46,6 +52,7 @@
             await tasks.start(operators.run)
             await tasks.start(entry.run)
             emit(Event.DAEMON_STARTED, host=settings.host.id)
+            self._started.set()
             task_status.started()
 
             def leave() -> None:
@@ -64,6 +71,10 @@
         """Begin a planned stop, or shorten it if it has begun."""
         self._stop.ask()
 
+    async def wait_started(self) -> None:
+        """Return once every listener is open."""
+        await self._started.wait()
+
     async def wait_stopped(self) -> None:
         """Return once a planned stop is complete."""
         await self._stopped.wait()
@@ -86,15 +97,17 @@
                 await anyio.sleep(SETTLE_POLL_S)
 
 
-async def _run_until_stopped(daemon: Daemon) -> None:
+async def run_until_stopped(daemon: Daemon) -> None:
+    """Run a daemon until SIGTERM or SIGINT has stopped it; a second signal shortens the stop."""
     async with anyio.create_task_group() as tasks:
 
-        async def watch_signals() -> None:
+        async def watch_signals(*, task_status: anyio.abc.TaskStatus[None]) -> None:
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                task_status.started()
                 async for _ in signals:
                     daemon.stop()
 
-        tasks.start_soon(watch_signals)
+        await tasks.start(watch_signals)
         await daemon.run()
         tasks.cancel_scope.cancel()
 
@@ -120,7 +133,7 @@
     if command.check is not None:
         print(f"{path}: settings are valid")
         return
-    anyio.run(_run_until_stopped, Daemon(settings))
+    anyio.run(run_until_stopped, Daemon(settings))
 
 
 if __name__ == "__main__":
