Keep a warm upstream's allowance at one request per seat under overload

Cause: in a trial with nine hosts and two stand-in leaves, one leaf restarted cold and the other got all traffic; its latency step and sheds let the allowance fall below the number of seats, so most hosts found no usable upstream. One collapse seen by many hosts also counted as many setbacks.

Change: overload takes a warm upstream down to a request for each seat and slot and no further; only an upstream in its ramp falls to 1. A setback counts once between growths.

--- a/hawthornbridge/allowance.py
+++ b/hawthornbridge/allowance.py
@@ -160,6 +160,9 @@
     reason: Reason = Reason.NEW_INCARNATION
     successes: int = 0
     setbacks: int = 0
+    # Set from a start, or from sharing turns, until the upstream is warm.
+    ramping: bool = True
+    grown: bool = False
     ranked_turn: int = -1
     rank: int = 0
 
@@ -167,6 +170,22 @@
     def cold(self) -> bool:
         return self.allowance < self.full
 
+    def set_back(self) -> None:
+        """Count a setback; the many falls that one overload causes at all hosts count once."""
+        if self.grown:
+            self.setbacks = min(self.setbacks + 1, MOST_SETBACKS)
+        self.grown = False
+
+    def follow(self, allowance: int, seats: int) -> None:
+        """Set the allowance, and with it how far the ramp is."""
+        self.grown = self.grown or allowance > self.allowance
+        self.allowance = allowance
+        if not self.cold:
+            self.ramping = False
+            self.setbacks = 0
+        elif allowance < seats:
+            self.ramping = True
+
 
 @register(Kind.RAMP, "shared")
 class SharedRamp:
@@ -223,24 +242,26 @@
         if reading.successes < SUCCESSES_PER_DOUBLING << reading.setbacks:
             return
         reading.successes = 0
-        reading.allowance = min(reading.full, reading.allowance * 2)
+        reading.follow(min(reading.full, reading.allowance * 2), self._seats)
         reading.reason = Reason.SUCCESS
-        if not reading.cold:
-            reading.setbacks = 0
         self._publish(upstream, reading)
 
     def overloaded(self, upstream: UpstreamId, reason: Reason) -> None:
-        """Halve the allowance; an upstream that was warm keeps one request for each slot."""
+        """Halve the allowance; an upstream that was warm keeps a request for each seat and each slot.
+
+        Overload of a warm upstream would otherwise take most hosts' turns away, and with them the goodput.
+        """
         reading = self._readings.get(upstream)
         if reading is None:
             return
-        floor = START_ALLOWANCE if reading.cold else min(reading.slots, reading.full)
+        floor = START_ALLOWANCE if reading.ramping else min(reading.full, max(reading.slots, self._seats))
         self._fall(upstream, reading, max(floor, reading.allowance // 2), reason, falls=1)
 
     def restarted(self, upstream: UpstreamId, reason: Reason) -> None:
         """Let the allowance fall to its start."""
         reading = self._readings.get(upstream)
         if reading is not None:
+            reading.ramping = True
             self._fall(upstream, reading, START_ALLOWANCE, reason, falls=FALLS_OF_RESTART)
 
     def seen(self, upstream: UpstreamId, incarnation: Incarnation) -> None:
@@ -263,10 +284,10 @@
         if (notice.falls, notice.allowance) <= known:
             return False
         if notice.falls > reading.falls:
-            reading.setbacks = min(reading.setbacks + 1, MOST_SETBACKS)
+            reading.set_back()
             reading.falls = notice.falls
         # A host with another view of the connection limits may publish an allowance that is too large for this one.
-        reading.allowance = min(notice.allowance, reading.full)
+        reading.follow(min(notice.allowance, reading.full), self._seats)
         reading.reason = notice.reason
         reading.successes = 0
         return True
@@ -285,6 +306,9 @@
         reading.allowance = START_ALLOWANCE
         reading.reason = Reason.NEW_INCARNATION
         reading.successes = 0
+        reading.setbacks = 0
+        reading.grown = False
+        reading.ramping = True
         reading.ranked_turn = -1
 
     def _fall(self, upstream: UpstreamId, reading: _Reading, allowance: int, reason: Reason, *, falls: int) -> None:
@@ -292,8 +316,8 @@
         if allowance >= reading.allowance:
             return
         reading.falls += falls
-        reading.setbacks = min(reading.setbacks + 1, MOST_SETBACKS)
-        reading.allowance = allowance
+        reading.set_back()
+        reading.follow(allowance, self._seats)
         reading.reason = reason
         self._publish(upstream, reading)
 
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -227,8 +227,18 @@
     ramp.receive(notice(8))
     for _ in range(10):
         ramp.overloaded(LEAF, Reason.SHED)
-        if ramp.notices()[0].allowance <= 2:
-            break
+    assert ramp.notices()[0].allowance == 2
+
+
+def test_an_overload_that_many_hosts_report_slows_the_next_ramp_once():
+    """Guards against a ramp that takes minutes after one collapse that nine hosts saw."""
+    ramp = ramp_at(seats=2)
+    ramp.receive(notice(8))
+    ramp.restarted(LEAF, Reason.RESETS)
+    for falls in range(FALLS_OF_RESTART + 1, FALLS_OF_RESTART + 9):
+        ramp.receive(notice(1, falls=falls))
+    for _ in range(2 * SUCCESSES_PER_DOUBLING):
+        ramp.succeeded(LEAF)
     assert ramp.notices()[0].allowance == 2
 
 
