--- a/hawthornbridge/daemon.py
+++ b/hawthornbridge/daemon.py
@@ -1,5 +1,6 @@
 """The daemon: wires the parts of one host together and runs them."""
 
+import signal
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -7,91 +8,95 @@
 
 import anyio
 import cappa
-import uvicorn
 
 # Imported for their registration as plug-ins.
-from hawthornbridge import callers, leafhttp, replicas  # noqa: F401
+from hawthornbridge import admission, hedging, hostlist, leafhttp, operators, replicas, storehttp  # noqa: F401
+from hawthornbridge.callers import ASGIApp
 from hawthornbridge.events import Event, emit
-from hawthornbridge.ids import RequestId
-from hawthornbridge.model import Catalogue
-from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
+from hawthornbridge.host import Host
+from hawthornbridge.listeners import Listener
+from hawthornbridge.metrics import ProbeApp
 from hawthornbridge.registry import Kind, lookup
-from hawthornbridge.requests import ExecuteAnswer, ExecuteRequest, SearchAnswer, SearchRequest
-from hawthornbridge.search import Searcher
 from hawthornbridge.settings import Settings, SettingsError, load
-from hawthornbridge.upstreams import UpstreamState, UpstreamTable
+from hawthornbridge.stopping import Stop
 
 __all__ = ["Daemon", "main"]
 
+# The longest time that a stop waits for the outcomes of executions to be recorded.
+SETTLE_S = 5.0
+SETTLE_POLL_S = 0.05
+
 
 class Daemon:
-    """Run one host: its listeners, its upstream connections and its control tasks."""
+    """Run one host and its listeners until a planned stop is complete."""
 
-    def __init__(self, settings: Settings, catalogue: Catalogue) -> None:
+    def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._catalogue = catalogue
-        plugins = settings.plugins
-        protocol = lookup(Kind.UPSTREAM_PROTOCOL, plugins.upstream_protocol)()
-        choice = lookup(Kind.REPLICA_CHOICE, plugins.replica_choice)
-        self._table = UpstreamTable(protocol, choice, settings.host.seats)
-        limits = settings.limits
-        hedging = lookup(Kind.HEDGING, plugins.hedging)(limits.hedge_share, limits.retry_share)
-        self._searcher = Searcher(_Upstreams(self._table), lambda: self._catalogue, hedging)
+        self._stop = Stop(settings.address_valid_ms / 1_000)
+        self._stopped = anyio.Event()
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled."""
-        interface = lookup(Kind.CALLER_INTERFACE, self._settings.plugins.caller_interface)
-        app = interface(self, self._settings.limits, self._settings.address_valid_ms)
-        server = _http_server(app, self._settings.listeners.callers)
+        """Serve until a planned stop is complete."""
+        settings = self._settings
         async with anyio.create_task_group() as tasks:
-            self._table.apply(self._catalogue, tasks)
-            tasks.start_soon(self._searcher.run)
-            tasks.start_soon(server.serve)
-            while not server.started:
-                await anyio.sleep(0.01)
-            emit(Event.DAEMON_STARTED, host=self._settings.host.id)
+            host = Host(settings, tasks)
+            tasks.start_soon(host.run)
+            entry = Listener(self._caller_app(host), settings.listeners.callers, settings.limits)
+            operators = Listener(self._operator_app(host), settings.listeners.operators, settings.limits)
+            await tasks.start(operators.run)
+            await tasks.start(entry.run)
+            emit(Event.DAEMON_STARTED, host=settings.host.id)
             task_status.started()
 
-    async def search(self, request: SearchRequest) -> SearchAnswer | Refusal:
-        """Answer a search."""
-        return await self._searcher.search(request)
+            def leave() -> None:
+                host.leave()
+                entry.close_after_answers()
+
+            cut = await self._stop.run(entry, leave=leave)
+            await self._settle(host)
+            # Operators may watch the stop until its end.
+            await operators.drain()
+            tasks.cancel_scope.cancel()
+        emit(Event.DAEMON_STOPPED, host=settings.host.id, cut=cut)
+        self._stopped.set()
 
-    async def execute(self, request: ExecuteRequest) -> ExecuteAnswer | Refusal:
-        """Refuse a non-idempotent request: the store is not connected yet."""
-        return Refusal(RefusalKind.STORE_UNAVAILABLE, Execution.NOT_RUN, "no store")
+    def stop(self) -> None:
+        """Begin a planned stop, or shorten it if it has begun."""
+        self._stop.ask()
 
-    def addresses(self) -> list[str]:
-        """Return the entry addresses that callers should use."""
-        return [self._settings.listeners.callers]
+    async def wait_stopped(self) -> None:
+        """Return once a planned stop is complete."""
+        await self._stopped.wait()
+
+    def _caller_app(self, host: Host) -> ASGIApp:
+        interface = lookup(Kind.CALLER_INTERFACE, self._settings.plugins.caller_interface)
+        app: ASGIApp = interface(host, self._settings.limits, self._settings.address_valid_ms)
+        return app
 
+    def _operator_app(self, host: Host) -> ASGIApp:
+        interface = lookup(Kind.OPERATOR_INTERFACE, self._settings.plugins.operator_interface)
+        probes = ProbeApp(host.metrics, host.ready)
+        app: ASGIApp = interface(host.operations, self._settings.tokens.operators, self._settings.limits, probes)
+        return app
 
-class _Upstreams:
-    """Adapt the table of upstreams to the calls of the search coordinator."""
+    async def _settle(self, host: Host) -> None:
+        # Outcomes that are not recorded would be unknown to callers that repeat the key elsewhere.
+        with anyio.move_on_after(SETTLE_S):
+            while not host.idle:
+                await anyio.sleep(SETTLE_POLL_S)
 
-    def __init__(self, table: UpstreamTable) -> None:
-        self.usable = table.usable
-        self.choose = table.choose
-        self.choose_hedge = table.choose_hedge
-        self.search = table.search
 
-    async def cancel(self, replica: UpstreamState, request_id: RequestId) -> None:
-        """Tell an upstream that nobody waits for a request any more."""
-        replica.connections.cancel(request_id)
+async def _run_until_stopped(daemon: Daemon) -> None:
+    async with anyio.create_task_group() as tasks:
 
+        async def watch_signals() -> None:
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                async for _ in signals:
+                    daemon.stop()
 
-def _http_server(app: object, address: str) -> uvicorn.Server:
-    host, _, port = address.partition(":")
-    config = uvicorn.Config(
-        app,  # type: ignore[arg-type]
-        host=host,
-        port=int(port),
-        loop="asyncio",
-        http="httptools",
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-    )
-    return uvicorn.Server(config)
+        tasks.start_soon(watch_signals)
+        await daemon.run()
+        tasks.cancel_scope.cancel()
 
 
 @dataclass
@@ -115,7 +120,7 @@
     if command.check is not None:
         print(f"{path}: settings are valid")
         return
-    anyio.run(Daemon(settings, Catalogue()).run)
+    anyio.run(_run_until_stopped, Daemon(settings))
 
 
 if __name__ == "__main__":
--- a/hawthornbridge/leafhttp.py
+++ b/hawthornbridge/leafhttp.py
@@ -103,7 +103,9 @@
 
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
         self._stream = stream
-        self._socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        # poll takes any descriptor; select fails from 1024 on, which a host with many upstreams passes.
+        self._poll = select.poll()
+        self._poll.register(stream.extra(anyio.abc.SocketAttribute.raw_socket), select.POLLIN)
         self._unsent: list[bytes] = []
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
@@ -133,7 +135,7 @@
         """Return whether the socket is readable, which on an idle connection means that the other side closed it."""
         if info != "is_readable":
             return None
-        return bool(select.select((self._socket,), (), (), 0)[0])
+        return bool(self._poll.poll(0))
 
 
 class HttpChannel:
--- a/hawthornbridge/membership.py
+++ b/hawthornbridge/membership.py
@@ -184,6 +184,7 @@
         self.identity = identity
         self.leaving = False
         self.load: Callable[[], float] = lambda: 0.0
+        self.in_flight: Callable[[], dict[DomainName, int]] = dict
         self.report: Callable[[], ConfigurationReport] = ConfigurationReport
         self.seat_conflict: HostId | None = None
         self.sequence = 0
@@ -310,6 +311,7 @@
                 pending=report.pending,
                 leaving=self.leaving,
                 load=self.load(),
+                in_flight=self.in_flight(),
                 echoes={
                     _echo_key(member.heartbeat.address, member.heartbeat.incarnation): member.heartbeat.sequence
                     for member in self.live
--- a/hawthornbridge/peers.py
+++ b/hawthornbridge/peers.py
@@ -56,7 +56,11 @@
             push = pynng.Push0(send_buffer_size=0, reconnect_time_min=100, reconnect_time_max=500)
             self._pushes[address] = push
             push.dial(f"tcp://{address}", block=False)
-        await _under_scopes(push.asend(data))
+        try:
+            # Most sends succeed at once, and so need no wake-up from a thread of the library.
+            push.send(data, block=False)
+        except pynng.TryAgain:
+            await _under_scopes(push.asend(data))
 
     async def receive(self) -> bytes:
         """Return the next message from any peer."""
@@ -158,7 +162,7 @@
 
     def connect(self, addresses: Collection[str]) -> None:
         """Hold links to exactly these addresses."""
-        for address in self._peers.keys() - set(addresses):
+        for address in sorted(self._peers.keys() - set(addresses)):
             self._peers.pop(address).scope.cancel()
         # Sorted, so that a run repeats whatever the hash seed of the process.
         for address in sorted(set(addresses) - self._peers.keys()):
--- a/hawthornbridge/upstreams.py
+++ b/hawthornbridge/upstreams.py
@@ -363,6 +363,14 @@
         """Return what is known of an upstream of the catalogue."""
         return self._states.get(upstream_id)
 
+    def cold(self) -> list[UpstreamState]:
+        """Return the upstreams that are in their ramp and may get work."""
+        return [
+            state
+            for state in self._states.values()
+            if state.usable and self._ramp.is_cold(state.upstream.id) and self._takes_work(state)
+        ]
+
     def loads(self, service: ServiceName | None = None) -> list[ShardLoad]:
         """Return busy and total slots per shard and failure domain, over upstreams that take work."""
         sums: dict[tuple[ServiceName, ShardName, DomainName], list[int]] = {}
--- /dev/null
+++ b/hawthornbridge/warmup.py
@@ -0,0 +1,90 @@
+"""Warm-up requests, so that cold upstreams ramp even while callers send little."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from uuid_utils import uuid7
+
+from hawthornbridge.ids import RequestId, RouteName, ServiceName, SnapshotNumber
+from hawthornbridge.metrics import Metrics
+from hawthornbridge.model import Catalogue, Service
+from hawthornbridge.requests import SearchRequest
+from hawthornbridge.subrequests import Search
+from hawthornbridge.upstreams import UpstreamState, UpstreamTable
+
+__all__ = ["WarmUp"]
+
+# One warm-up request per upstream and interval at most; a doubling needs eight successes, so about 0.3 s.
+INTERVAL_S = 0.02
+# The deadline bounds what a lost warm-up request holds; a cold upstream may be several times slower than usual.
+DEADLINE_S = 0.5
+CONCURRENT = 32
+PURPOSE = "warm_up"
+
+
+class WarmUp:
+    """Repeat callers' last searches to cold upstreams that this host may send to and that it sends nothing else.
+
+    The allowance of a cold upstream bounds these requests like any others.
+    """
+
+    def __init__(self, table: UpstreamTable, catalogue: Callable[[], Catalogue], metrics: Metrics) -> None:
+        self._table = table
+        self._catalogue = catalogue
+        self._metrics = metrics
+        self._last: dict[ServiceName, SearchRequest] = {}
+        self._in_flight = 0
+
+    def note(self, request: SearchRequest) -> None:
+        """Remember a search that may be repeated."""
+        self._last[request.service] = request
+
+    async def run(self) -> None:
+        """Send warm-up requests until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self.send_due(tasks)
+                await anyio.sleep(INTERVAL_S)
+
+    def send_due(self, tasks: TaskGroup) -> None:
+        """Start a request to each cold upstream that has none from this host."""
+        cold = self._table.cold()
+        random.shuffle(cold)
+        for state in cold:
+            if self._in_flight >= CONCURRENT:
+                return
+            request = self._request_for(state) if state.open and not state.in_flight else None
+            if request is not None:
+                self._in_flight += 1
+                tasks.start_soon(self._send, state, request)
+
+    def _request_for(self, state: UpstreamState) -> Search | None:
+        service = self._catalogue().services.get(state.upstream.service)
+        route = _idempotent_route(service)
+        if route is None or not state.snapshots:
+            return None
+        last = self._last.get(state.upstream.service)
+        return Search(
+            request_id=RequestId(str(uuid7())),
+            route=last.route if last is not None else route,
+            shard=state.upstream.shard,
+            snapshot=SnapshotNumber(max(state.snapshots)),
+            query=last.query if last is not None else "",
+            limit=last.limit if last is not None else 1,
+            deadline_s=anyio.current_time() + DEADLINE_S,
+        )
+
+    async def _send(self, state: UpstreamState, request: Search) -> None:
+        try:
+            self._metrics.sub_requests.labels(state.upstream.service, PURPOSE).inc()
+            await self._table.search(state, request)
+        finally:
+            self._in_flight -= 1
+
+
+def _idempotent_route(service: Service | None) -> RouteName | None:
+    if service is None:
+        return None
+    return next((route.name for route in service.routes if route.idempotent), None)
