--- /dev/null
+++ b/hawthornbridge/loads.py
@@ -0,0 +1,61 @@
+"""The load of shards and hosts, as this host knows it from upstreams' replies and from heartbeats."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+from hawthornbridge.domains import ShardLoad
+from hawthornbridge.ids import DomainName, HostId
+from hawthornbridge.membership import Membership
+from hawthornbridge.model import Catalogue, DomainState, Service
+from hawthornbridge.snapshots import best_snapshot
+from hawthornbridge.upstreams import UpstreamTable
+
+__all__ = ["Loads"]
+
+
+class Loads:
+    """Read loads for the decisions on failure domains; replies carry an upstream's work for all hosts together."""
+
+    def __init__(self, catalogue: Callable[[], Catalogue], table: UpstreamTable, membership: Membership) -> None:
+        self._catalogue = catalogue
+        self._table = table
+        self._membership = membership
+        membership.in_flight = self.own_in_flight
+
+    def shard_loads(self) -> Sequence[ShardLoad]:
+        """Return a row per shard of each service's best snapshot and failure domain that has upstreams for it."""
+        return [load for service in self._catalogue().services.values() for load in self._service_loads(service)]
+
+    def in_flight(self, domain: DomainName) -> Mapping[HostId, int]:
+        """Return each host's sub-requests in flight in a domain, as of the heartbeat that carried its generation."""
+        found = {host: member.heartbeat.in_flight.get(domain, 0) for host, member in self._membership.members.items()}
+        return found | {self._membership.identity.host: self._table.in_flight_in(domain)}
+
+    def host_loads(self) -> Mapping[HostId, float]:
+        """Return the share of each host's query slots in use."""
+        return self._membership.loads
+
+    def own_in_flight(self) -> dict[DomainName, int]:
+        """Return this host's sub-requests in flight in each domain that takes no new work."""
+        domains = self._catalogue().domains.values()
+        return {
+            domain.name: in_flight
+            for domain in domains
+            if domain.state is not DomainState.ACTIVE and (in_flight := self._table.in_flight_in(domain.name))
+        }
+
+    def _service_loads(self, service: Service) -> list[ShardLoad]:
+        pinned = best_snapshot(self._catalogue(), self._table, service.name, (service.version,))
+        if pinned is None:
+            return []
+        shards = set(pinned.shard_map.shards)
+        return [
+            ShardLoad(load.service, load.shard, load.failure_domain, load.slots, load.busy, holders)
+            for load in self._table.loads(service.name)
+            if load.shard in shards
+            for holders in [
+                sum(
+                    state.upstream.failure_domain == load.failure_domain
+                    for state in self._table.usable(service.name, load.shard, service.version, pinned.number)
+                )
+            ]
+        ]
--- a/tests/test_leafhttp.py
+++ b/tests/test_leafhttp.py
@@ -1,9 +1,11 @@
+import fcntl
 import socket
 import time
 
 import anyio
 import pytest
 
+from hawthornbridge import leafhttp
 from hawthornbridge.connections import ConnectionGroup
 from hawthornbridge.ids import AttemptId, IdempotencyKey, RequestId, RouteName, ShardName, SnapshotNumber
 from hawthornbridge.leafhttp import HttpUpstreamProtocol
@@ -191,3 +193,24 @@
         outcome = await HttpUpstreamProtocol().connect(f"127.0.0.1:{silent.getsockname()[1]}", 0.1)
         assert failure(FailureKind.CONNECT, Execution.NOT_RUN)(outcome)
         assert time.monotonic() - started_s < 1
+
+
+class HighStream:
+    """Stand in for an anyio stream whose socket has a descriptor above 1024."""
+
+    def __init__(self, raw):
+        self._raw = raw
+
+    def extra(self, _attribute):
+        return self._raw
+
+
+def test_an_idle_connection_is_checked_whatever_its_descriptor():
+    """Guards against select, which raised an error and ended the daemon once it had more than 1,024 descriptors."""
+    near, far = socket.socketpair()
+    high = socket.socket(fileno=fcntl.fcntl(near.fileno(), fcntl.F_DUPFD_CLOEXEC, 1_500))
+    with near, far, high:
+        stream = leafhttp._Stream(HighStream(high))
+        assert stream.get_extra_info("is_readable") is False
+        far.close()
+        assert stream.get_extra_info("is_readable") is True
