--- a/hawthornbridge/search.py
+++ b/hawthornbridge/search.py
@@ -55,12 +55,15 @@
 
 
 class Recorder(Protocol):
-    """Receive the result of each finished sub-request that was not the loser of a hedge."""
+    """Receive how one query went on one version; the latency is that of its slowest sub-request.
+
+    Sub-requests of one query share its delays, so that counting each of them would count one pause many times.
+    """
 
     def __call__(
         self, service: ServiceName, route: RouteName, version: VersionName, latency_s: float, failed: bool
     ) -> None:
-        """Record one result."""
+        """Record one query."""
 
 
 class Purpose(Enum):
@@ -115,6 +118,14 @@
                 scope.cancel()
 
 
+@dataclass(slots=True)
+class _Performance:
+    """Hold the slowest sub-request that one version got from a query, and whether it failed any."""
+
+    latency_s: float = 0.0
+    failed: bool = False
+
+
 @dataclass
 class _Pass:
     """Hold one fan-out over one pinned snapshot."""
@@ -133,6 +144,7 @@
     extra: int = 0
     sheds: int = 0
     next_pinned: PinnedSnapshot | None = None
+    performance: dict[VersionName, _Performance] = field(default_factory=dict)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     @property
@@ -142,6 +154,12 @@
         missing = tuple(shard for shard in shards if shard not in self.replies)
         return Coverage(len(self.replies), len(shards), missing)
 
+    def note(self, version: VersionName, latency_s: float, *, failed: bool) -> None:
+        """Note how a sub-request went on its version."""
+        seen = self.performance.setdefault(version, _Performance())
+        seen.latency_s = max(seen.latency_s, latency_s)
+        seen.failed = seen.failed or failed
+
 
 class Searcher(Generic[ReplicaT]):
     """Answer searches from one snapshot each."""
@@ -210,6 +228,7 @@
             gone.add(work.pinned.key)
             await self._fan_out(work, gone)
             passes.append(work)
+            self._report(work)
             # The later pass wins a tie because its snapshot is the one that still exists.
             if work.coverage.ratio >= best.coverage.ratio:
                 best = work
@@ -359,32 +378,35 @@
         except anyio.get_cancelled_exc_class():
             now_s = anyio.current_time()
             if now_s >= work.deadline_s:
-                self._report(service, route, version, now_s - started_s, failed=True)
+                work.note(version, now_s - started_s, failed=True)
                 raise
             # The time so far is a lower bound; without it, the slow tail would vanish from the histogram and each
             # window would hedge earlier than the one before.
             if work.delay_s is not None and now_s - started_s >= work.delay_s:
                 self._policy.observe(service, route, now_s - started_s)
+                if purpose is Purpose.FIRST:
+                    # A hedge that wins must not hide a slow version.
+                    work.note(version, now_s - started_s, failed=False)
             raise
         latency_s = anyio.current_time() - started_s
         match outcome:
             case SearchReply() if _belongs(outcome, sub_request):
                 self._policy.observe(service, route, latency_s)
-                self._report(service, route, version, latency_s, failed=False)
+                work.note(version, latency_s, failed=False)
             case SearchReply():
                 outcome = UpstreamFailure(FailureKind.BAD_REPLY, Execution.UNKNOWN, "the reply of another request")
-                self._report(service, route, version, latency_s, failed=True)
+                work.note(version, latency_s, failed=True)
             case UpstreamRefusal(UpstreamRefusalKind.SNAPSHOT_GONE):
                 without.add(replica.upstream.id)
             case UpstreamRefusal(UpstreamRefusalKind.SHED):
                 work.sheds += 1
             case UpstreamRefusal(UpstreamRefusalKind.DEADLINE):
-                self._report(service, route, version, latency_s, failed=True)
+                work.note(version, latency_s, failed=True)
             case UpstreamFailure(FailureKind.QUEUE_FULL):
                 work.sheds += 1
             case UpstreamFailure(execution=Execution.UNKNOWN):
                 # What was never sent says nothing about the upstream's version.
-                self._report(service, route, version, latency_s, failed=True)
+                work.note(version, latency_s, failed=True)
         return outcome
 
     def _choose(
@@ -419,11 +441,11 @@
             work.next_pinned = other
             work.scope.cancel()
 
-    def _report(
-        self, service: ServiceName, route: RouteName, version: VersionName, latency_s: float, *, failed: bool
-    ) -> None:
-        if self._record is not None:
-            self._record(service, route, version, latency_s, failed)
+    def _report(self, work: _Pass) -> None:
+        if self._record is None:
+            return
+        for version, seen in work.performance.items():
+            self._record(work.service.name, work.request.route, version, seen.latency_s, seen.failed)
 
     def _configured_share(self, service: ServiceName) -> float:
         rollout = self._catalogue().rollouts.get(service)
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -85,6 +85,11 @@
         ramp = self.hosts[host].ramp
         (ramp.restarted if reason is Reason.RESETS else ramp.overloaded)(LEAF, reason)
 
+    @rule(host=st.integers(0, HOSTS - 1), restarts=st.integers(1, 3))
+    def learn_of_a_restart(self, host, restarts):
+        """Guards against hosts that rank the seats differently while they know different incarnations."""
+        self.hosts[host].ramp.seen(LEAF, Incarnation(BORN + restarts))
+
     @rule(host=st.integers(0, HOSTS - 1), data=st.data())
     def deliver(self, host, data):
         if self.notices:
@@ -100,6 +105,16 @@
 TestFleet = Fleet.TestCase
 
 
+def test_hosts_that_know_different_incarnations_send_no_more_than_the_allowance():
+    """Guards against a ranking that depends on the incarnation: in a trial 225 of 1,000 turns had several senders."""
+    for turn in range(1_000, 1_200):
+        ramps = [SharedRamp(seat, SEATS, lambda turn=turn: turn + 0.5) for seat in range(SEATS)]
+        for ramp in ramps:
+            ramp.track(LEAF, full=FULL, slots=2)
+            ramp.seen(LEAF, Incarnation(BORN + ramps.index(ramp) % 3))
+        assert sum(ramp.time_left_s(LEAF, 0) > 0 for ramp in ramps) == 1
+
+
 def ramp_at(now_s=1_000.5, seats=1):
     ramp = SharedRamp(0, seats, lambda: now_s)
     ramp.track(LEAF, full=8, slots=2)
