--- a/hawthornbridge/allowance.py
+++ b/hawthornbridge/allowance.py
@@ -330,8 +330,9 @@
 
     def _rank(self, upstream: UpstreamId, reading: _Reading, turn: int) -> int:
         """Return how many seats come before this one in the turn; all hosts agree on it, whatever else they know."""
+        # The incarnation is left out: hosts that know different ones would rank the seats differently.
         if reading.ranked_turn != turn:
-            salt = f"{upstream}/{reading.incarnation}/{turn}/"
+            salt = f"{upstream}/{turn}/"
             own = xxhash.xxh3_64_intdigest(f"{salt}{self._seat}".encode())
             reading.rank = sum(xxhash.xxh3_64_intdigest(f"{salt}{seat}".encode()) > own for seat in range(self._seats))
             reading.ranked_turn = turn
--- a/hawthornbridge/callers.py
+++ b/hawthornbridge/callers.py
@@ -65,6 +65,7 @@
     class_name: Name = msgspec.field(name="class", default="default")
     caller: Annotated[str, msgspec.Meta(max_length=128)] = ""
     deadline_ms: Deadline | None = None
+    retry: bool = False
 
 
 class CallerService(Protocol):
@@ -172,6 +173,7 @@
                 idempotency_key=IdempotencyKey(body.idempotency_key),
                 payload=body.payload,
                 deadline_s=started_s + self._deadline_s(ServiceName(body.service), body.deadline_ms),
+                retry=body.retry,
             )
         )
         if isinstance(outcome, Refusal):
--- a/hawthornbridge/daemon.py
+++ b/hawthornbridge/daemon.py
@@ -1,5 +1,6 @@
 """The daemon: wires the parts of one host together and runs them."""
 
+import gc
 import signal
 import sys
 from dataclasses import dataclass
@@ -25,6 +26,9 @@
 # The longest time that a stop waits for the outcomes of executions to be recorded.
 SETTLE_S = 5.0
 SETTLE_POLL_S = 0.05
+# Connections and tables are set up by then. Collections of the oldest generation, which otherwise examine all of them
+# again and again, stopped the event loop of a daemon for 30 to 50 ms each.
+FREEZE_DELAY_S = 10.0
 
 
 class Daemon:
@@ -47,6 +51,7 @@
         async with anyio.create_task_group() as tasks:
             host = Host(settings, tasks)
             tasks.start_soon(host.run)
+            tasks.start_soon(_freeze_long_lived_objects)
             entry = Listener(self._caller_app(host), settings.listeners.callers, settings.limits)
             operators = Listener(self._operator_app(host), settings.listeners.operators, settings.limits)
             await tasks.start(operators.run)
@@ -97,6 +102,12 @@
                 await anyio.sleep(SETTLE_POLL_S)
 
 
+async def _freeze_long_lived_objects() -> None:
+    await anyio.sleep(FREEZE_DELAY_S)
+    gc.collect()
+    gc.freeze()
+
+
 async def run_until_stopped(daemon: Daemon) -> None:
     """Run a daemon until SIGTERM or SIGINT has stopped it; a second signal shortens the stop."""
     async with anyio.create_task_group() as tasks:
--- a/hawthornbridge/executions.py
+++ b/hawthornbridge/executions.py
@@ -2,7 +2,7 @@
 
 import uuid
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol, TypeAlias, TypeVar
 
 import anyio
@@ -235,6 +235,8 @@
                 self._record(attempt, ClaimState.RAN, result)
             case Refusal(execution=Execution.NOT_RUN):
                 self._record(attempt, ClaimState.RELEASED)
+                # The claim shows that no earlier attempt holds the key.
+                return replace(ending, settled=True)
             case Refusal(execution=Execution.RAN):
                 self._record(attempt, ClaimState.RAN)
             case _:
--- a/hawthornbridge/host.py
+++ b/hawthornbridge/host.py
@@ -7,7 +7,6 @@
 from anyio.abc import TaskGroup
 
 from hawthornbridge.addresses import MemberView, choose_addresses
-from hawthornbridge.allowance import AllowanceNotice
 from hawthornbridge.claims import Claims
 from hawthornbridge.control import Control
 from hawthornbridge.decider import Decider
@@ -17,9 +16,10 @@
 from hawthornbridge.ids import Incarnation, ServiceName
 from hawthornbridge.loads import Loads
 from hawthornbridge.membership import HostIdentity
-from hawthornbridge.messages import AllowanceNotices, Evidence
+from hawthornbridge.messages import Evidence
 from hawthornbridge.metrics import Metrics
 from hawthornbridge.model import Catalogue
+from hawthornbridge.notices import AllowanceExchange
 from hawthornbridge.operators import OperationsService
 from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
 from hawthornbridge.peers import PynngLinks
@@ -37,12 +37,6 @@
 
 # The configuration's calls have a rate of their own, so that orders never delay it.
 CONTROL_RATE_SHARE = 0.4
-# Changes of allowances are gathered for this time, so that a domain that returns makes few messages.
-NOTICE_INTERVAL_S = 0.1
-# Cold upstreams' allowances are repeated this often for hosts that missed a notice.
-NOTICE_REPEAT_S = 2.0
-# A message with this many notices stays well below the limit of 64 KB.
-NOTICES_PER_MESSAGE = 400
 SWEEP_INTERVAL_S = 60.0
 SWEEPERS = 2
 
@@ -75,13 +69,14 @@
         host_list = lookup(Kind.MEMBERSHIP_SOURCE, plugins.membership_source)(settings.platform.host_list)
         self._links = PynngLinks(settings.listeners.peers)
         self._control = Control(identity, settings.tokens.peers, self._links, control_store, settings.peers, host_list)
-        self._ramp = lookup(Kind.RAMP, plugins.ramp)(host.seat, host.seats)
+        ramp = lookup(Kind.RAMP, plugins.ramp)(host.seat, host.seats)
         self._table = UpstreamTable(
             lookup(Kind.UPSTREAM_PROTOCOL, plugins.upstream_protocol)(),
             lookup(Kind.REPLICA_CHOICE, plugins.replica_choice),
             host.seats,
-            self._ramp,
+            ramp,
         )
+        self._allowances = AllowanceExchange(ramp, self._table, self._control.membership, self._control.peers)
         self._rollouts = Rollouts(self._catalogue, self._publish_evidence, host.id, incarnation, host.seats)
         self._searcher = Searcher(
             self._table,
@@ -97,13 +92,12 @@
         self._queries = QueryPath(
             self._catalogue, self._admission, self._searcher, self.metrics, self._executions.execute, self._gate
         )
-        loads = Loads(self._catalogue, self._table, self._control.membership)
+        self._loads = loads = Loads(self._catalogue, self._table, self._control.membership)
         configuration = self._control.configuration
         self._moves = DomainMoves(configuration, loads, host.id)
         self._decider = Decider(control_store, configuration, self._rollouts, host.id, incarnation, _now_ms)
         self.operations = OperationsService(configuration, self._moves, loads, cut=self._rollouts.cut_by_operator)
         self._warm_up = WarmUp(self._table, self._catalogue, self.metrics)
-        self._notices: dict[str, AllowanceNotice] = {}
         self._connect_parts()
 
     @property
@@ -122,8 +116,9 @@
             self._rollouts.run,
             self._decider.run,
             self._moves.run,
+            self._loads.run,
             self._warm_up.run,
-            self._publish_notices,
+            self._allowances.run,
             self._sweep_claims,
         )
         try:
@@ -178,9 +173,7 @@
     def _connect_parts(self) -> None:
         peers, membership = self._control.peers, self._control.membership
         peers.subscribe(Evidence, lambda message: self._rollouts.on_evidence(message.evidence))
-        peers.subscribe(AllowanceNotices, self._receive_notices)
         membership.load = lambda: self._admission.load
-        self._ramp.on_allowance = self._note_allowance
         self._control.configuration.listen(lambda catalogue: self._table.apply(catalogue, self._tasks))
 
     def _catalogue(self) -> Catalogue:
@@ -195,26 +188,6 @@
     def _publish_evidence(self, evidence: RolloutEvidence) -> None:
         self._control.peers.publish(Evidence(evidence))
 
-    def _receive_notices(self, message: AllowanceNotices) -> None:
-        for notice in message.notices:
-            self._table.receive_allowance(notice)
-
-    def _note_allowance(self, notice: AllowanceNotice) -> None:
-        self._notices[notice.upstream] = notice
-
-    async def _publish_notices(self) -> None:
-        repeat_s = anyio.current_time()
-        while True:
-            await anyio.sleep(NOTICE_INTERVAL_S)
-            if anyio.current_time() >= repeat_s:
-                repeat_s = anyio.current_time() + NOTICE_REPEAT_S
-                cold = (notice for notice in self._ramp.notices() if self._ramp.is_cold(notice.upstream))
-                self._notices |= {notice.upstream: notice for notice in cold}
-            gathered, self._notices = list(self._notices.values()), {}
-            for first in range(0, len(gathered), NOTICES_PER_MESSAGE):
-                part = tuple(gathered[first : first + NOTICES_PER_MESSAGE])
-                self._control.peers.publish(AllowanceNotices(part))
-
     async def _sweep_claims(self) -> None:
         while True:
             await anyio.sleep(SWEEP_INTERVAL_S * self._random.uniform(0.5, 1.5))
--- a/hawthornbridge/loads.py
+++ b/hawthornbridge/loads.py
@@ -1,16 +1,27 @@
 """The load of shards and hosts, as this host knows it from upstreams' replies and from heartbeats."""
 
+import math
 from collections.abc import Callable, Mapping, Sequence
+from typing import TypeAlias
+
+import anyio
 
 from hawthornbridge.domains import ShardLoad
 from hawthornbridge.ids import DomainName, HostId, MapId, ServiceName, ShardName, SnapshotNumber
 from hawthornbridge.membership import Membership
 from hawthornbridge.model import Catalogue, DomainState, Service
 from hawthornbridge.snapshots import PinnedSnapshot, best_snapshot
-from hawthornbridge.upstreams import UpstreamTable
+from hawthornbridge.upstreams import ShardLoad as UpstreamLoad, UpstreamTable
 
 __all__ = ["Loads"]
 
+SAMPLE_INTERVAL_S = 0.25
+# A shard has few slots, so the requests of one moment say little; the mean of some seconds says what it carries.
+MEAN_S = 2.0
+SAMPLE_WEIGHT = 1 - math.exp(-SAMPLE_INTERVAL_S / MEAN_S)
+
+LoadKey: TypeAlias = tuple[ServiceName, ShardName, DomainName]
+
 
 class Loads:
     """Read loads for the decisions on failure domains; replies carry an upstream's work for all hosts together."""
@@ -19,8 +30,22 @@
         self._catalogue = catalogue
         self._table = table
         self._membership = membership
+        self._busy: dict[LoadKey, float] = {}
         membership.in_flight = self.own_in_flight
 
+    async def run(self) -> None:
+        """Follow the load until cancelled."""
+        while True:
+            self.sample()
+            await anyio.sleep(SAMPLE_INTERVAL_S)
+
+    def sample(self) -> None:
+        """Take the present load into the means."""
+        present = {_key(load): float(load.busy) for load in self._table.loads()}
+        self._busy = {
+            key: busy + (1 - SAMPLE_WEIGHT) * (self._busy.get(key, busy) - busy) for key, busy in present.items()
+        }
+
     def shard_loads(self) -> Sequence[ShardLoad]:
         """Return the load per service, shard and failure domain; a row that is missing stands for zeros."""
         return [load for service in self._catalogue().services.values() for load in self._service_loads(service)]
@@ -61,7 +86,7 @@
                 load.shard,
                 load.failure_domain,
                 load.slots,
-                load.busy,
+                self._busy.get(_key(load), load.busy),
                 self._holders(service, load.shard, load.failure_domain, pinned.number),
             )
             for load in self._table.loads(service.name)
@@ -70,3 +95,7 @@
     def _holders(self, service: Service, shard: ShardName, domain: DomainName, snapshot: SnapshotNumber) -> int:
         holders = self._table.usable(service.name, shard, service.version, snapshot)
         return sum(state.upstream.failure_domain == domain for state in holders)
+
+
+def _key(load: UpstreamLoad) -> LoadKey:
+    return load.service, load.shard, load.failure_domain
--- a/hawthornbridge/messages.py
+++ b/hawthornbridge/messages.py
@@ -21,6 +21,7 @@
     "MESSAGE_LIMIT_BYTES",
     "PART_LIMIT_BYTES",
     "AllowanceNotices",
+    "AllowanceRequest",
     "BaseChunk",
     "Codec",
     "Entries",
@@ -145,13 +146,28 @@
 
 
 class AllowanceNotices(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """Carry the in-flight allowances of cold upstreams."""
+    """Carry in-flight allowances: those that changed or are cold, or in answer to a request all of them."""
 
     notices: tuple[AllowanceNotice, ...]
+    is_answer: bool
+
+
+class AllowanceRequest(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Ask a host for all allowances that it knows."""
+
+    address: str
 
 
 Message: TypeAlias = (
-    Heartbeat | Entries | EntriesRequest | BaseChunk | Proposal | ProposalSeen | Evidence | AllowanceNotices
+    Heartbeat
+    | Entries
+    | EntriesRequest
+    | BaseChunk
+    | Proposal
+    | ProposalSeen
+    | Evidence
+    | AllowanceNotices
+    | AllowanceRequest
 )
 
 
--- a/hawthornbridge/outcomes.py
+++ b/hawthornbridge/outcomes.py
@@ -44,9 +44,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Refuse a request, saying why and whether it ran."""
+    """Refuse a request, saying why and whether it ran.
+
+    settled says that a not_run holds for every earlier attempt on the same idempotency key, too.
+    """
 
     kind: RefusalKind
     execution: Execution
     detail: str
     field: str | None = None
+    settled: bool = False
--- a/hawthornbridge/queries.py
+++ b/hawthornbridge/queries.py
@@ -1,6 +1,7 @@
 """The way of one request through the host: checks, admission, work, metrics."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any, TypeVar
 
 import anyio
@@ -61,7 +62,11 @@
 
     async def execute(self, request: ExecuteRequest) -> ExecuteAnswer | Refusal:
         """Run a non-idempotent request, or refuse it."""
-        return await self._admitted(request, self._executor)
+        outcome = await self._admitted(request, self._executor)
+        if isinstance(outcome, Refusal) and request.retry and not outcome.settled:
+            # This attempt did not run, but without a claim nothing is known of the earlier ones.
+            return _without_certainty(outcome)
+        return outcome
 
     async def _admitted(self, request: Any, work: Callable[[Any], Awaitable[AnswerT | Refusal]]) -> AnswerT | Refusal:
         started_s = anyio.current_time()
@@ -121,3 +126,9 @@
 
 def _open() -> None:
     return None
+
+
+def _without_certainty(refusal: Refusal) -> Refusal:
+    if refusal.execution is not Execution.NOT_RUN:
+        return refusal
+    return replace(refusal, execution=Execution.UNKNOWN)
--- a/hawthornbridge/requests.py
+++ b/hawthornbridge/requests.py
@@ -62,7 +62,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ExecuteRequest:
-    """Ask a service to run a non-idempotent request; deadline_s as in SearchRequest."""
+    """Ask a service to run a non-idempotent request; deadline_s as in SearchRequest.
+
+    retry says that the caller has sent the key before and does not know what became of it.
+    """
 
     request_id: RequestId
     service: ServiceName
@@ -72,6 +75,7 @@
     idempotency_key: IdempotencyKey
     payload: Any
     deadline_s: float
+    retry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornbridge/upstreams.py
+++ b/hawthornbridge/upstreams.py
@@ -154,7 +154,8 @@
         """Return the requests at the upstream, as its last reply or else this host knows."""
         if anyio.current_time() - self.load_at_s > LOAD_AGE_S:
             return self.in_flight
-        return max(self.reported_in_flight, self.in_flight)
+        # A reply counts its own request, which has ended by now; with it, a lightly used upstream would seem busy.
+        return max(self.reported_in_flight - 1, self.in_flight)
 
     def caution(self, now_s: float) -> Caution:
         """Return the strongest reason against sending work to the upstream."""
@@ -363,12 +364,17 @@
         """Return what is known of an upstream of the catalogue."""
         return self._states.get(upstream_id)
 
+    @property
+    def tracks_upstreams(self) -> bool:
+        """Return whether a configuration with upstreams has been applied."""
+        return bool(self._states)
+
     def cold(self) -> list[UpstreamState]:
         """Return the upstreams that are in their ramp and may get work."""
         return [
             state
             for state in self._states.values()
-            if state.usable and self._ramp.is_cold(state.upstream.id) and self._takes_work(state)
+            if self._ramp.is_cold(state.upstream.id) and state.usable and self._takes_work(state)
         ]
 
     def loads(self, service: ServiceName | None = None) -> list[ShardLoad]:
--- a/hawthornbridge/warmup.py
+++ b/hawthornbridge/warmup.py
@@ -16,8 +16,10 @@
 
 __all__ = ["WarmUp"]
 
-# One warm-up request per upstream and interval at most; a doubling needs eight successes, so about 0.3 s.
-INTERVAL_S = 0.02
+INTERVAL_S = 0.05
+# At most 100 requests a second and host, some 6% of a core: without a bound, a tier that started spent all its
+# processor time on warm-up and answered callers late.
+REQUESTS_PER_INTERVAL = 5
 # The deadline bounds what a lost warm-up request holds; a cold upstream may be several times slower than usual.
 DEADLINE_S = 0.5
 CONCURRENT = 32
@@ -52,11 +54,13 @@
         """Start a request to each cold upstream that has none from this host."""
         cold = self._table.cold()
         random.shuffle(cold)
+        left = min(REQUESTS_PER_INTERVAL, CONCURRENT - self._in_flight)
         for state in cold:
-            if self._in_flight >= CONCURRENT:
+            if left <= 0:
                 return
             request = self._request_for(state) if state.open and not state.in_flight else None
             if request is not None:
+                left -= 1
                 self._in_flight += 1
                 tasks.start_soon(self._send, state, request)
 
--- /dev/null
+++ b/tests/test_loads.py
@@ -0,0 +1,80 @@
+import pytest
+
+from hawthornbridge.ids import DomainName, ServiceName, ShardName
+from hawthornbridge.loads import Loads
+from hawthornbridge.membership import Membership
+from hawthornbridge.messages import Codec
+from hawthornbridge.model import (
+    FailureDomain,
+    PutFailureDomain,
+    PutService,
+    PutShardMap,
+    Route,
+    Service,
+    ShardMap,
+    fold,
+)
+from hawthornbridge.peers import Peers
+from hawthornbridge.upstreams import ShardLoad
+from standins.memorylinks import Network
+from tests.test_membership import HostIdentity
+
+
+class Table:
+    """Report one shard with a load that the test sets."""
+
+    def __init__(self):
+        self.busy = 0
+
+    def loads(self, service=None):
+        return [ShardLoad(ServiceName("desk"), ShardName("s0"), DomainName("a"), 1, self.busy, 2)]
+
+    def usable(self, service, shard, version, snapshot):
+        return [self]
+
+    snapshots = {1: "m1"}
+
+    @property
+    def upstream(self):
+        return FailureDomainOf("a")
+
+
+class FailureDomainOf:
+    def __init__(self, name):
+        self.failure_domain = name
+
+
+def loads(table):
+    catalogue = fold(
+        [
+            PutFailureDomain(FailureDomain(name="a")),
+            PutService(Service(name="desk", routes=(Route("read"),), classes=(), version="v1")),
+            PutShardMap(ShardMap(id="m1", service="desk", shards=("s0",))),
+        ]
+    )
+    identity = HostIdentity("h0", 1, 0, 5, "h0", "c", "a", "r1")
+    membership = Membership(identity, Peers(Network().open("h0"), Codec("peers-token-00001")))
+    return Loads(lambda: catalogue, table, membership)
+
+
+@pytest.mark.anyio
+async def test_one_busy_moment_is_no_lasting_load():
+    """Guards against a drain refused because three requests met at a shard of two slots."""
+    table = Table()
+    source = loads(table)
+    for table.busy in [0] * 20 + [6]:
+        source.sample()
+    [load] = source.shard_loads()
+    assert load.busy < load.slots
+    assert load.replicas == 1
+
+
+@pytest.mark.anyio
+async def test_a_load_that_lasts_counts():
+    """Guards against a mean that hides an overload."""
+    table = Table()
+    source = loads(table)
+    for table.busy in [0] * 20 + [6] * 16:
+        source.sample()
+    [load] = source.shard_loads()
+    assert load.busy > load.slots
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -9,7 +9,7 @@
 from hawthornbridge.metrics import Metrics, ProbeApp
 from hawthornbridge.outcomes import Execution, Refusal, RefusalKind
 from hawthornbridge.queries import QueryPath
-from hawthornbridge.requests import SearchRequest
+from hawthornbridge.requests import ExecuteRequest, SearchRequest
 from hawthornbridge.search import Searcher
 
 STALE = Refusal(RefusalKind.STALE_CONFIGURATION, Execution.NOT_RUN, "stale")
@@ -105,3 +105,32 @@
     await ProbeApp(Metrics(), lambda: ready)({"method": "GET", "path": path}, None, send)
     assert sent[0]["status"] == status
     assert path != "/metrics" or b"hawthornbridge_latency_seconds" in sent[1]["body"]
+
+
+@pytest.mark.parametrize(
+    ("retry", "settled", "execution"),
+    [
+        (False, False, Execution.NOT_RUN),
+        (True, False, Execution.UNKNOWN),
+        (True, True, Execution.NOT_RUN),
+    ],
+)
+@pytest.mark.anyio
+async def test_a_repeated_key_is_not_called_not_run_without_a_claim(retry, settled, execution):
+    """Guards against a caller that enters an order anew because a host without the store denies an earlier run."""
+    config = catalogue({"m1": ("s0",)})
+
+    async def refuse(request):
+        return Refusal(RefusalKind.STORE_UNAVAILABLE, Execution.NOT_RUN, "down", settled=settled)
+
+    path = QueryPath(lambda: config, FairShareAdmission(8), None, Metrics(), refuse)
+    asked = ExecuteRequest("r", SERVICE, "lookup", "default", "c", "k", {}, anyio.current_time() + 1, retry)
+    outcome = await path.execute(asked)
+    assert outcome.execution is execution
+
+
+@pytest.mark.anyio
+async def test_a_repeated_key_refused_before_the_claims_are_read_is_unknown():
+    path, *_ = path_for(lambda r, s: (0.01, reply(r, s)), gate=lambda: STALE)
+    asked = ExecuteRequest("r", SERVICE, "lookup", "default", "c", "k", {}, anyio.current_time() + 1, True)
+    assert (await path.execute(asked)).execution is Execution.UNKNOWN
