Measure steady load, faults, moves and rollouts over real daemons

Cause: the targets of the design had no figures from real daemons. Leaves of a farm get seeds of their own.

--- a/measure/farm.py
+++ b/measure/farm.py
@@ -17,14 +17,17 @@
 
     async def start(self, specs: list[LeafSpec], snapshots: dict[int, str]) -> dict[str, str]:
         """Start leaves and return their addresses."""
-        for spec in specs:
+        for number, spec in enumerate(specs, len(self._leaves)):
             leaf = Leaf(
                 shard=spec.shard,
                 version=spec.version,
                 slots=spec.slots,
                 connections=spec.connections,
                 service_ms=spec.service_ms,
+                connect_cost_ms=spec.connect_ms,
                 snapshots=dict(snapshots),
+                # Replicas with one seed would be slow at the same requests.
+                seed=number,
             )
             await leaf.start()
             self._leaves[spec.id] = leaf
--- a/measure/load.py
+++ b/measure/load.py
@@ -11,11 +11,22 @@
 import uuid_utils
 from hdrh.histogram import HdrHistogram
 
-__all__ = ["Callers", "Outcome"]
+__all__ = ["CallerProcess", "Callers", "Outcome", "Record"]
 
 HIGHEST_US = 60_000_000
 
 
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Hold what came of one request; result is "answer", "cut", or a refusal's kind and execution."""
+
+    sent_s: float
+    latency_ms: float
+    result: str
+    coverage: float
+    snapshot: int
+
+
 @dataclass
 class Outcome:
     """Collect what callers saw."""
@@ -28,6 +39,7 @@
     cut: int = 0
     sent: int = 0
     crossed: int = 0
+    records: list[Record] = field(default_factory=list)
 
     @property
     def answered(self) -> int:
@@ -84,11 +96,10 @@
 
     async def post(self, path: str, body: dict[str, Any], timeout_s: float = 5.0) -> tuple[int, Any]:
         """Send one request to an entry host; status 0 says that no answer came."""
-        address = await self.address()
         content = msgspec.json.encode(body)
         try:
             with anyio.fail_after(timeout_s):
-                response = await self._pool.request("POST", f"http://{address}{path}", content=content)
+                response = await self._request(path, content)
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError):
             self._valid_until_s = 0.0
             return 0, None
@@ -100,6 +111,15 @@
             await self._refresh()
         return self._random.choice(self._addresses or self._seeds)
 
+    async def _request(self, path: str, content: bytes) -> httpcore.Response:
+        while True:
+            address = await self.address()
+            try:
+                return await self._pool.request("POST", f"http://{address}{path}", content=content)
+            except httpcore.ConnectError:
+                # Nothing was sent, so another address may be used; this one is asked for no more.
+                self._addresses = [other for other in self._addresses if other != address]
+
     async def _refresh(self) -> None:
         for seed in self._random.sample(self._seeds, len(self._seeds)):
             try:
@@ -120,13 +140,59 @@
         latency_s = anyio.current_time() - started_s + 2 * self._caller_s
         if status == 0:
             outcome.cut += 1
+            outcome.records.append(Record(started_s, latency_s * 1_000, "cut", 0.0, 0))
             return
         if status != 200:
-            outcome.refusals[answer["error"]["kind"] + "/" + answer["error"]["execution"]] += 1
+            refusal = answer["error"]["kind"] + "/" + answer["error"]["execution"]
+            outcome.refusals[refusal] += 1
+            outcome.records.append(Record(started_s, latency_s * 1_000, refusal, 0.0, 0))
             return
         coverage = answer["coverage"]
+        ratio = coverage["answered"] / coverage["total"]
+        outcome.records.append(Record(started_s, latency_s * 1_000, "answer", ratio, answer["snapshot"]))
         outcome.latency_us.record_value(max(1, min(HIGHEST_US, int(latency_s * 1e6))))
-        outcome.coverage.append(coverage["answered"] / coverage["total"])
+        outcome.coverage.append(ratio)
         outcome.snapshots[answer["snapshot"]] += 1
         outcome.hedged += answer["hedged"]
         outcome.crossed += answer["request_id"] != body["request_id"]
+
+
+class CallerProcess:
+    """Make requests in a process of their own and return a record of each; times are of the monotonic clock."""
+
+    def __init__(self, seeds: list[str], seed: int, caller_ms: float) -> None:
+        self._callers = Callers(seeds, seed, caller_ms)
+        self._seeds = seeds
+
+    async def searches(
+        self, service: str, routes: tuple[str, ...], per_s: float, duration_s: float, deadline_ms: int
+    ) -> list[Record]:
+        """Send searches for a while."""
+        return (await self._callers.searches(service, routes, per_s, duration_s, deadline_ms)).records
+
+    async def repeated_orders(self, service: str, route: str, per_s: float, duration_s: float) -> list[list[str]]:
+        """Send each order to all hosts at once, twice, and return the execution that each attempt reported."""
+        orders: list[list[str]] = []
+        async with anyio.create_task_group() as tasks:
+            ended_s = anyio.current_time() + duration_s
+            while anyio.current_time() < ended_s:
+                body = {"service": service, "route": route, "payload": "one", "deadline_ms": 1_000}
+                body["idempotency_key"] = str(uuid_utils.uuid7())
+                orders.append([])
+                for address in self._seeds:
+                    tasks.start_soon(self._order, address, body, orders[-1])
+                await anyio.sleep(1 / per_s)
+        return orders
+
+    async def _order(self, address: str, body: dict[str, Any], results: list[str]) -> None:
+        async with httpcore.AsyncConnectionPool() as pool:
+            for _ in range(2):
+                content = msgspec.json.encode({**body, "request_id": str(uuid_utils.uuid7())})
+                try:
+                    with anyio.fail_after(5):
+                        response = await pool.request("POST", f"http://{address}/v1/execute", content=content)
+                except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError):
+                    results.append("cut")
+                    continue
+                answer = msgspec.json.decode(response.content)
+                results.append(answer["execution"] if response.status == 200 else answer["error"]["execution"])
--- /dev/null
+++ b/measure/report.py
@@ -0,0 +1,178 @@
+"""Figures of a run, targets held or not held, and the page that lists them."""
+
+import re
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from measure.load import Record
+
+__all__ = ["Figures", "Result", "Target", "figures_of", "merge_page", "section", "table_rows"]
+
+HIGHEST_US = 60_000_000
+POLICY_COLUMNS = (
+    "policy",
+    "p50 ms",
+    "p95 ms",
+    "p99 ms",
+    "within 120 ms",
+    "coverage",
+    "complete",
+    "extra",
+    "refusals",
+    "cut",
+    "ms/query",
+    "ms/sub-request",
+    "cores",
+    "store calls/s",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """State one target beside its figure; held is None if this run can't tell."""
+
+    name: str
+    figure: str
+    held: bool | None
+
+    def line(self) -> str:
+        """Format the target as an item of a list."""
+        verdict = {True: "held", False: "**not held**", None: "not measured"}[self.held]
+        return f"- {self.name}: {self.figure}: {verdict}"
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Hold what one policy did under one load."""
+
+    requests: int
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+    within_share: float
+    coverage: float
+    complete_share: float
+    extra_share: float
+    refusals: dict[str, int]
+    cut: int
+    query_ms: float
+    sub_request_ms: float
+    cores: float
+    store_calls_per_s: float
+
+    def cells(self, policy: str) -> list[str]:
+        """Return the cells of a row."""
+        refusals = ", ".join(f"{kind} {count}" for kind, count in sorted(self.refusals.items())) or "0"
+        return [
+            policy,
+            f"{self.p50_ms:.1f}",
+            f"{self.p95_ms:.1f}",
+            f"{self.p99_ms:.1f}",
+            f"{self.within_share:.2%}",
+            f"{self.coverage:.4f}",
+            f"{self.complete_share:.2%}",
+            f"{self.extra_share:.2%}",
+            refusals,
+            str(self.cut),
+            f"{self.query_ms:.2f}",
+            f"{self.sub_request_ms:.3f}",
+            f"{self.cores:.2f}",
+            f"{self.store_calls_per_s:.1f}",
+        ]
+
+
+@dataclass
+class Result:
+    """Hold the figures and targets of one scenario."""
+
+    scenario: str
+    title: str
+    load: str
+    figures: dict[str, Figures] = field(default_factory=dict)
+    targets: list[Target] = field(default_factory=list)
+    naive_targets: list[Target] = field(default_factory=list)
+
+
+def figures_of(
+    records: Iterable[Record],
+    sub_requests: Counter[str],
+    processor_s: float,
+    duration_s: float,
+    store_calls: int,
+    target_ms: float = 120.0,
+) -> Figures:
+    """Sum up the requests of one run; latency and coverage are those of answers, within_share is of all requests."""
+    histogram = HdrHistogram(1, HIGHEST_US, 3)
+    coverage: list[float] = []
+    refusals: Counter[str] = Counter()
+    cut = within = total = 0
+    for record in records:
+        total += 1
+        match record.result:
+            case "answer":
+                histogram.record_value(max(1, min(HIGHEST_US, int(record.latency_ms * 1_000))))
+                coverage.append(record.coverage)
+                within += record.latency_ms <= target_ms
+            case "cut":
+                cut += 1
+            case kind:
+                refusals[kind] += 1
+    sent = sum(sub_requests.values())
+    first = sub_requests["first"]
+    return Figures(
+        requests=total,
+        p50_ms=histogram.get_value_at_percentile(50) / 1_000,
+        p95_ms=histogram.get_value_at_percentile(95) / 1_000,
+        p99_ms=histogram.get_value_at_percentile(99) / 1_000,
+        within_share=within / max(1, total),
+        coverage=sum(coverage) / max(1, len(coverage)),
+        complete_share=sum(ratio == 1.0 for ratio in coverage) / max(1, len(coverage)),
+        extra_share=(sent - first) / max(1, first),
+        refusals=dict(refusals),
+        cut=cut,
+        query_ms=processor_s * 1_000 / max(1, total),
+        sub_request_ms=processor_s * 1_000 / max(1, sent),
+        cores=processor_s / duration_s,
+        store_calls_per_s=store_calls / duration_s,
+    )
+
+
+def table_rows(result: Result) -> list[str]:
+    """Return the lines of a scenario's table."""
+    rows = [POLICY_COLUMNS, ("---",) * len(POLICY_COLUMNS)]
+    rows += [tuple(figures.cells(policy)) for policy, figures in result.figures.items()]
+    return ["| " + " | ".join(row) + " |" for row in rows]
+
+
+def section(result: Result, command: str, date: str) -> str:
+    """Return a scenario's part of the page."""
+    lines = [
+        f"<!-- scenario: {result.scenario} -->",
+        f"### {result.scenario}",
+        "",
+        f"{result.title}. Load: {result.load}. Run: `{command}`, {date}.",
+        "",
+        *table_rows(result),
+        "",
+        *(target.line() for target in result.targets),
+        "",
+        "The naive baseline, for comparison:",
+        "",
+        *(target.line() for target in result.naive_targets),
+        "",
+        f"<!-- end: {result.scenario} -->",
+    ]
+    return "\n".join(lines)
+
+
+def merge_page(page: str, sections: dict[str, str], order: list[str]) -> str:
+    """Replace the parts of the scenarios that ran, and add those that the page has not; the rest stays."""
+    known = dict(re.findall(r"(?s)<!-- scenario: (\S+) -->(.*?)<!-- end: \1 -->", page))
+    merged = {name: f"<!-- scenario: {name} -->{text}<!-- end: {name} -->" for name, text in known.items()} | sections
+    text = "\n\n".join(merged[name] for name in order if name in merged)
+    head, _, rest = page.partition("<!-- scenarios -->")
+    _, _, tail = rest.partition("<!-- end of scenarios -->")
+    return f"{head}<!-- scenarios -->\n\n{text}\n\n<!-- end of scenarios -->{tail}"
