--- a/tests/operatorfakes.py
+++ b/tests/operatorfakes.py
@@ -16,7 +16,6 @@
     HostProgress,
     QuorumMissing,
 )
-from hawthornbridge.deployments import entity_generation
 from hawthornbridge.domains import DomainMoves, ShardLoad
 from hawthornbridge.model import (
     Catalogue,
@@ -39,35 +38,37 @@
 NOW_MS = 1_000_000
 
 
+CHANGES = [
+    *(PutFailureDomain(FailureDomain(name=name)) for name in "abc"),
+    PutService(Service(name="desk", routes=(), classes=(), version="v1")),
+    PutShardMap(ShardMap(id="m", service="desk", shards=("s0",))),
+    *(
+        PutUpstream(
+            Upstream(
+                id=f"u-{name}",
+                service="desk",
+                shard="s0",
+                failure_domain=name,
+                version="v1",
+                address="127.0.0.1:1",
+                slots=2,
+                connections=25,
+            )
+        )
+        for name in "abc"
+    ),
+]
+
+
 def catalogue():
     """One shard with an upstream in each of the domains a, b and c, whose generations are 1, 2 and 3."""
-    return fold(
-        [
-            *(PutFailureDomain(FailureDomain(name=name)) for name in "abc"),
-            PutService(Service(name="desk", routes=(), classes=(), version="v1")),
-            PutShardMap(ShardMap(id="m", service="desk", shards=("s0",))),
-            *(
-                PutUpstream(
-                    Upstream(
-                        id=f"u-{name}",
-                        service="desk",
-                        shard="s0",
-                        failure_domain=name,
-                        version="v1",
-                        address="127.0.0.1:1",
-                        slots=2,
-                        connections=25,
-                    )
-                )
-                for name in "abc"
-            ),
-        ]
-    )
+    return fold(CHANGES)
 
 
 class FakeLoad:
     def __init__(self, busy=0.5, slots=2):
         self.rows = {name: ShardLoad("desk", "s0", name, slots, busy, 1) for name in "abc"}
+        self.maps = {"desk": "m"}
         self.flying = {}
 
     def set(self, domain, slots=2, busy=0.5, replicas=1):
@@ -76,6 +77,9 @@
     def shard_loads(self):
         return list(self.rows.values())
 
+    def serving_maps(self):
+        return self.maps
+
     def in_flight(self, domain):
         return self.flying.get(domain, {})
 
@@ -104,7 +108,7 @@
         for entry in self.entries:
             if entry.operation_id == operation_id:
                 return ChangeAccepted(entry.generation, True, False)
-        current = entity_generation(self.catalogue, change)
+        current = self.catalogue.generation_of(change)
         if current != expected:
             winner = next((entry for entry in self.entries if entry.generation == current), None)
             return ChangeConflict(current, winner)
@@ -176,18 +180,20 @@
         self.log = FakeChangeLog(self.head)
         self.moves = DomainMoves(self.log, self.load, "h1")
         self.cuts = []
-        service = OperationsService(
+        self.service = OperationsService(
             self.log,
             self.moves,
             self.load,
             cut=lambda rollout, reason: self.cuts.append((rollout.new, reason)),
             now_ms=lambda: NOW_MS,
         )
-        app = OperatorApp(service, TOKEN, LimitSettings(body_bytes=4_096, read_ms=50), probes)
+        app = OperatorApp(self.service, TOKEN, LimitSettings(body_bytes=4_096, read_ms=50), probes)
         self._server = uvicorn.Server(
             uvicorn.Config(app, port=0, http="httptools", loop="asyncio", lifespan="off", log_config=None)
         )
-        self._socket = socket.create_server(("127.0.0.1", 0))
+        # asyncio turns Nagle's algorithm off only on sockets that name their protocol; it costs 40 ms per answer.
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        self._socket.bind(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
         self._thread = threading.Thread(target=self._run)
         self._thread.start()
