--- a/measure/report.py
+++ b/measure/report.py
@@ -40,7 +40,7 @@
 
     def line(self) -> str:
         """Format the target as an item of a list."""
-        verdict = {True: "held", False: "**not held**", None: "not measured"}[self.held]
+        verdict = {True: "held", False: "**not held**", None: "no verdict"}[self.held]
         return f"- {self.name}: {self.figure}: {verdict}"
 
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -2,7 +2,10 @@
 import httpcore
 import msgspec
 import pytest
+import uuid_utils
 
+from hawthornbridge import operations_pb as pb
+from hawthornbridge.acceptance import ChangeAccepted
 from hawthornbridge.ids import ClassName, DomainName, MapId, RouteName, ServiceName, ShardName, UpstreamId, VersionName
 from hawthornbridge.model import (
     ClassLimits,
@@ -138,3 +141,24 @@
     await fleet.stop()
     assert set(outcomes) == {(200, True)}
     assert any(asked_late)
+
+
+@pytest.mark.anyio
+async def test_a_domain_is_drained_through_the_operators_call(leaves):
+    """Guards against a host whose loads lack something that the check before a drain asks for."""
+    fleet = LocalFleet(1)
+    async with anyio.create_task_group() as tasks:
+        await fleet.start(tasks)
+        await fleet.apply(changes_for(leaves))
+        await covered(fleet.caller_addresses[0])
+        domain = (await fleet.configuration()).domains[DomainName("a")]
+        request = pb.MoveFailureDomainRequest(
+            operation_id=str(uuid_utils.uuid7()),
+            expected_generation=domain.generation,
+            failure_domain="a",
+            reason="maintenance",
+        )
+        outcome = await fleet.call("drain_failure_domain", request)
+        tasks.cancel_scope.cancel()
+    await fleet.stop()
+    assert isinstance(outcome, ChangeAccepted), outcome
