--- a/measure/scenarios.py
+++ b/measure/scenarios.py
@@ -468,6 +468,7 @@
 FAILING = {"failing_share": 0.5}
 FAILING_ROUTE = {"failing_share": 0.5, "failing_route": "fitting"}
 SLOW = {"slow_factor": 5.0}
+SLOW_UNDER_LOAD = {"slow_factor": 5.0, "slow_above_in_flight": 1}
 
 SCENARIOS = (
     Scenario("steady", "Steady load", steady),
@@ -519,6 +520,13 @@
         baseline=False,
     ),
     Scenario("bad-version-route", "It fails on one route", bad_version(FAILING_ROUTE, 0.25), per_s=40, baseline=False),
+    Scenario(
+        "bad-version-load",
+        "It is five times slower while a leaf has two requests or more",
+        bad_version(SLOW_UNDER_LOAD, 1.0),
+        per_s=40,
+        baseline=False,
+    ),
     Scenario(
         "store-down-rollout",
         "Half of the new version's replies fail, and the store is down from the start of the rollout",
--- a/standins/leaf.py
+++ b/standins/leaf.py
@@ -20,6 +20,7 @@
     failing_share: float = 0.0
     failing_route: str | None = None
     slow_factor: float = 1.0
+    slow_above_in_flight: int = 0
     drop_share: float = 0.0
     lost_answer_share: float = 0.0
     wrong_snapshot_share: float = 0.0
@@ -178,7 +179,8 @@
             self._slots.release()
 
     def _duration_s(self, route: str) -> float:
-        factor = self.faults.slow_factor if self.faults.failing_route in (None, route) else 1.0
+        busy = self.in_flight > self.faults.slow_above_in_flight
+        factor = self.faults.slow_factor if busy and self.faults.failing_route in (None, route) else 1.0
         if self._random.random() < self.faults.straggler_share:
             factor *= self.faults.straggler_factor
         return self.service_ms * factor * self._random.uniform(0.7, 1.3) / 1_000
