--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -176,13 +176,11 @@
         client = OperatorClient([address] if address else self.operator_addresses, OPERATOR_TOKEN)
         return await anyio.to_thread.run_sync(client.configuration)
 
-    async def in_force_s(self, generation: Generation) -> float:
-        """Wait until every running host has applied a generation, and return how long that took."""
-        started_s = anyio.current_time()
+    async def wait_in_force(self, generation: Generation) -> None:
+        """Wait until every running host has applied a generation."""
         waiting = self.operator_addresses
         while waiting:
             waiting = [address for address in waiting if (await self.configuration(address)).generation < generation]
-        return anyio.current_time() - started_s
 
     def signal_host(self, number: int, what: signal.Signals) -> None:
         """Send a signal to one daemon."""
--- a/measure/scenarios.py
+++ b/measure/scenarios.py
@@ -43,7 +43,6 @@
     records: list[Record] = field(default_factory=list)
     figures: Figures | None = None
     targets: list[Target] = field(default_factory=list)
-    values: dict[str, float] = field(default_factory=dict)
 
     def expect(self, name: str, figure: str, held: bool | None) -> None:
         """Note a target with its figure."""
@@ -196,9 +195,11 @@
     ids = stage.domain_leaves(domain)
     async with stage.load(duration_s=30):
         await anyio.sleep(2)
+        asked_s = anyio.current_time()
         generation = await _move(stage, "drain_failure_domain", domain)
         accepted_s = anyio.current_time()
-        in_force_s = await fleet.in_force_s(generation)
+        await fleet.wait_in_force(generation)
+        in_force_s = anyio.current_time() - asked_s
         await anyio.sleep_until(accepted_s + DRAIN_LIMIT_S)
         before = await stage.received(ids)
         await anyio.sleep(5)
@@ -212,7 +213,11 @@
     back = await stage.received(ids) - before
     ramp = [record.coverage for record in stage.records if record.sent_s >= restored_s and record.result == "answer"]
     coverage = sum(ramp) / max(1, len(ramp))
-    stage.expect("accepted configuration in force on every host within 4 s", f"{in_force_s:.2f} s", in_force_s <= 4)
+    stage.expect(
+        "accepted configuration in force on every host within 4 s",
+        f"{in_force_s:.2f} s from the call",
+        in_force_s <= 4,
+    )
     stage.expect("a drained domain gets no new work after 3 s", f"{late} requests in the next 5 s", late == 0)
     stage.expect_uncut()
     stage.expect("a cold leaf never has more in flight than it bears", f"{collapses} collapses", collapses == 0)
