--- a/measure/control.py
+++ b/measure/control.py
@@ -1,5 +1,6 @@
 """Cost of the control part of one host among nine, over pynng on loopback."""
 
+import argparse
 import multiprocessing
 import socket
 import sys
@@ -18,7 +19,6 @@
 from hawthornbridge.store import Missing, ReadOutcome, WatchOutcome, WatchTimeout
 from standins.memorystore import MemoryStore
 
-HOSTS = 9
 SETTLING_S = 4.0
 IDLE_S = 20.0
 CHANGES = 100
@@ -63,7 +63,7 @@
         HostId(f"entry-{number}"),
         Incarnation(time.time_ns()),
         Seat(number),
-        HOSTS,
+        len(addresses),
         addresses[number],
         addresses[number],
         DomainName("a"),
@@ -116,8 +116,8 @@
 
 
 async def _measure(addresses: list[str], pipes: list[Connection]) -> None:
-    # This process is the ninth host, with a store of its own in memory, and proposes the changes.
-    control = _control(HOSTS - 1, addresses, MemoryStore())
+    # This process is the last host, with a store of its own in memory, and proposes the changes.
+    control = _control(len(addresses) - 1, addresses, MemoryStore())
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(control.run)
         await anyio.sleep(SETTLING_S)
@@ -139,7 +139,7 @@
     sent = sum(b.sent - a.sent for a, b in zip(before, idle, strict=True)) / count
     sent_bytes = sum(b.sent_bytes - a.sent_bytes for a, b in zip(before, idle, strict=True)) / count
     received = sum(b.received_bytes - a.received_bytes for a, b in zip(before, idle, strict=True)) / count
-    print(f"hosts: {HOSTS}, idle for {IDLE_S:.0f} s; mean over {count} hosts, each in its own process")
+    print(f"hosts: {count + 1}, idle for {IDLE_S:.0f} s; mean over {count} hosts, each in its own process")
     print(f"messages sent per host: {sent / IDLE_S:.1f}/s, {sent_bytes / sent:.0f} bytes each")
     print(
         f"bytes per host: {sent_bytes / IDLE_S / 1_000:.2f} KB/s sent, {received / IDLE_S / 1_000:.2f} KB/s received"
@@ -164,11 +164,14 @@
 
 
 def main() -> None:
-    """Start eight hosts, be the ninth, and print the figures."""
+    """Start all hosts but one, be the last one, and print the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--hosts", type=int, default=9)
+    hosts: int = parser.parse_args().hosts
     context = multiprocessing.get_context("spawn")
-    addresses = _free_addresses(HOSTS)
+    addresses = _free_addresses(hosts)
     pipes, processes = [], []
-    for number in range(HOSTS - 1):
+    for number in range(hosts - 1):
         ours, theirs = context.Pipe()
         process = context.Process(target=_serve, args=(number, addresses, theirs), daemon=True)
         process.start()
