Expose control metrics and describe what to watch

Cause: operators could not see staleness, quorum, cold upstreams or the store's circuit breaker. Change: gauges read at scrape time, and a table of alerts; a test compares the names of the page with /metrics. Before: 6 metrics; after: 16. No figure on the path of a query changes.

--- a/hawthornbridge/host.py
+++ b/hawthornbridge/host.py
@@ -29,7 +29,7 @@
 from hawthornbridge.rollouts import Rollouts
 from hawthornbridge.search import Searcher
 from hawthornbridge.settings import Settings
-from hawthornbridge.storelimits import LimitedStore
+from hawthornbridge.storelimits import CircuitState, LimitedStore
 from hawthornbridge.upstreams import UpstreamTable
 from hawthornbridge.warmup import WarmUp
 
@@ -99,6 +99,7 @@
         self.operations = OperationsService(configuration, self._moves, loads, cut=self._rollouts.cut_by_operator)
         self._warm_up = WarmUp(self._table, self._catalogue, self.metrics)
         self._connect_parts()
+        self._add_gauges((control_store, claims_store))
 
     @property
     def idle(self) -> bool:
@@ -176,6 +177,23 @@
         membership.load = lambda: self._admission.load
         self._control.configuration.listen(lambda catalogue: self._table.apply(catalogue, self._tasks))
 
+    def _add_gauges(self, stores: tuple[LimitedStore, LimitedStore]) -> None:
+        membership, peers, add = self._control.membership, self._control.peers, self.metrics.gauge
+        add("serving", "1 if this host takes new work", lambda: float(self._gate() is None))
+        add("generation", "Generation of the configuration", lambda: self._control.configuration.generation)
+        add("heard_seats", "Seats heard in both directions, this one included", lambda: membership.heard_seats)
+        add("seat_conflict", "1 if a later host has this host's seat", lambda: membership.seat_conflict is not None)
+        add("cold_upstreams", "Upstreams in their ramp that may get work now", lambda: len(self._table.cold()))
+        add("load_ratio", "Share of the host's query slots in use", lambda: self._admission.load)
+        add("control_sent_bytes", "Bytes sent to other hosts", lambda: peers.sent_bytes)
+        add("control_received_bytes", "Bytes received from other hosts", lambda: peers.received_bytes)
+        add("control_rejected", "Messages without a valid digest, or malformed", lambda: peers.rejected)
+        add(
+            "store_circuits_open",
+            "Circuit breakers to the store that are not closed, of 2",
+            lambda: sum(store.state is not CircuitState.CLOSED for store in stores),
+        )
+
     def _catalogue(self) -> Catalogue:
         return self._control.configuration.catalogue
 
--- a/hawthornbridge/metrics.py
+++ b/hawthornbridge/metrics.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from hawthornbridge.callers import ASGIApp, Receive, Scope, Send
 
@@ -54,6 +54,10 @@
             "hawthornbridge_refusals", "Refused requests", ("service", "class", "kind"), registry=self.registry
         )
 
+    def gauge(self, name: str, help_text: str, value: Callable[[], float]) -> None:
+        """Add a value that is read when the metrics are."""
+        Gauge(f"hawthornbridge_{name}", help_text, registry=self.registry).set_function(value)
+
 
 class ProbeApp:
     """Answer /healthz, /readyz and /metrics, and pass every other request on to the operators' application."""
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,4 +1,6 @@
+import re
 import signal
+from pathlib import Path
 
 import anyio
 import httpcore
@@ -198,3 +200,20 @@
     assert msgspec.json.decode(before)["addresses"] == [settings.listeners.callers]
     assert ready == 503
     assert msgspec.json.decode(after)["addresses"] == []
+
+
+@pytest.mark.anyio
+async def test_the_metrics_page_has_every_metric_that_operators_are_told_to_watch():
+    """Guards against alerts on names that do not exist."""
+    page = (Path(__file__).parent.parent / "docs" / "operations.md").read_text()
+    watched = set(re.findall(r"^\| `(hawthornbridge_\w+)`", page, re.M))
+    fleet = LocalFleet(1)
+    async with anyio.create_task_group() as tasks:
+        await fleet.start(tasks)
+        status, content = await get(fleet.operator_addresses[0], "/metrics")
+        tasks.cancel_scope.cancel()
+    await fleet.stop()
+    named = set(re.findall(r"^# HELP (\w+)", content.decode(), re.M))
+    assert status == 200
+    assert len(watched) > 5
+    assert watched <= named
