Read the clock and look metrics up less often per sub-request

Cause: a profile of a query in memory shows no item above 10% in the project's own code. anyio.current_time takes 10% of the profiled time with 12.6 calls a sub-request, and each sub-request looks its metric up by labels. Change: the dispatch of jobs reads the clock only if the gate limits the time; the load of an upstream reads it only if the reported figure could be the larger one; a latency window reads it once per quantile; the counter of sent sub-requests is kept per service and purpose. Behaviour is the same. Over loopback the machine was too busy for a figure of this size.

--- a/hawthornbridge/connections.py
+++ b/hawthornbridge/connections.py
@@ -219,7 +219,6 @@
 
     def dispatch(self) -> None:
         """Hand waiting jobs to idle connections, as far as the gate allows."""
-        now_s = anyio.current_time()
         while self._queue and self._idle:
             job = self._queue[0]
             if not job.control:
@@ -230,9 +229,10 @@
                         self._refuse_work(FailureKind.COLD, "the allowance gives this host no turn")
                     self._hand_over_controls()
                     return
-                if job.deadline_s > now_s + left_s:
-                    job.deadline_s = now_s + left_s
-                    job.request = replace(job.request, deadline_s=job.deadline_s)
+                # A warm upstream's gate sets no limit, and then the clock need not be read.
+                if left_s < inf and job.deadline_s > (turn_end_s := anyio.current_time() + left_s):
+                    job.deadline_s = turn_end_s
+                    job.request = replace(job.request, deadline_s=turn_end_s)
                 self._waiting_work -= 1
                 self.active += 1
             self._queue.popleft()
--- a/hawthornbridge/hedging.py
+++ b/hawthornbridge/hedging.py
@@ -88,15 +88,15 @@
 
     def record(self, latency_s: float) -> None:
         """Record one latency."""
-        self._turn()
+        self._turn(self._clock())
         value_us = min(HIGHEST_US, max(LOWEST_US, int(latency_s * 1_000_000)))
         self._older.record_value(value_us)
         self._newer.record_value(value_us)
 
     def delay_s(self) -> float:
         """Return the hedge quantile, or the first delay while there are too few samples."""
-        self._turn()
         now_s = self._clock()
+        self._turn(now_s)
         if now_s - self._read_s < REFRESH_S:
             return self._delay_s
         if self._older.total_count >= FEWEST_SAMPLES:
@@ -105,8 +105,7 @@
             self._read_s = now_s
         return self._delay_s
 
-    def _turn(self) -> None:
-        now_s = self._clock()
+    def _turn(self, now_s: float) -> None:
         if now_s - self._turned_s < WINDOW_S / 2:
             return
         self._turned_s = now_s
--- a/hawthornbridge/search.py
+++ b/hawthornbridge/search.py
@@ -12,6 +12,7 @@
 import anyio
 import uuid_utils
 from anyio.abc import TaskGroup
+from prometheus_client import Counter
 
 from hawthornbridge.events import Event, emit
 from hawthornbridge.hedging import HedgePolicy, QuantileHedging
@@ -181,6 +182,8 @@
         self._share_of = share_of or self._configured_share
         self._record = record
         self._metrics = metrics or Metrics()
+        # Looking a metric up by its labels takes longer than counting.
+        self._sent: dict[tuple[ServiceName, Purpose], Counter] = {}
         self._credits: dict[tuple[ServiceName, RouteName], float] = {}
         self._random = chance or random.Random()
         # Callers may repeat each other's request ids, so sub-requests carry ids of this host's own.
@@ -371,7 +374,7 @@
             self._policy.sent(service)
         else:
             work.extra += 1
-        self._metrics.sub_requests.labels(service, purpose.value).inc()
+        self._count_sent(service, purpose)
         started_s = anyio.current_time()
         try:
             outcome = await self._table.search(replica, sub_request)
@@ -409,6 +412,13 @@
                 work.note(version, latency_s, failed=True)
         return outcome
 
+    def _count_sent(self, service: ServiceName, purpose: Purpose) -> None:
+        counter = self._sent.get((service, purpose))
+        if counter is None:
+            counter = self._metrics.sub_requests.labels(service, purpose.value)
+            self._sent[service, purpose] = counter
+        counter.inc()
+
     def _choose(
         self, work: _Pass, shard: ShardName, excluded: set[UpstreamId], *, hedge: bool = False
     ) -> ReplicaT | None:
--- a/hawthornbridge/upstreams.py
+++ b/hawthornbridge/upstreams.py
@@ -145,9 +145,13 @@
     @property
     def load(self) -> float:
         """Return the requests per slot: those of this host, or what a reply said, which counts for less as it ages."""
+        in_flight = self.in_flight
+        if self.reported_in_flight <= in_flight:
+            # Whatever its age, the reply's figure is not the larger one.
+            return in_flight / self.upstream.slots
         age_s = anyio.current_time() - self.load_at_s
         reported = self.reported_in_flight * max(0.0, 1 - age_s / LOAD_AGE_S)
-        return max(self.in_flight, reported) / self.upstream.slots
+        return max(in_flight, reported) / self.upstream.slots
 
     @property
     def busy(self) -> int:
