Receive messages between hosts without a callback on a library thread

Cause: half of a host's profiled control time is spent on received messages, and half of that in pynng's arecv: each message creates an asynchronous operation, whose callback runs on a thread of the library and wakes the event loop. Change: PynngLinks waits until the descriptor of the socket is readable and receives without blocking. It waits before each message, so that a flood of messages does not keep other tasks from running.

--- a/hawthornbridge/peers.py
+++ b/hawthornbridge/peers.py
@@ -1,6 +1,7 @@
 """Links between hosts: one sending task per peer, one receiving task, authenticated messages."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable, Collection
 from typing import Any, Protocol, TypeVar
@@ -64,7 +65,12 @@
 
     async def receive(self) -> bytes:
         """Return the next message from any peer."""
-        return await _under_scopes(self._pull.arecv())
+        while True:
+            # The descriptor wakes this task without a callback on a thread of the library. Waiting for it before each
+            # message lets other tasks run while messages keep arriving.
+            await anyio.wait_readable(self._pull.recv_fd)
+            with contextlib.suppress(pynng.TryAgain):
+                return self._pull.recv(block=False)
 
     def forget(self, address: str) -> None:
         """Drop the connection to a peer and what waits in it."""
