--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,10 +1,15 @@
+import re
 import signal
+from pathlib import Path
 
 import anyio
 import httpcore
 import msgspec
 import pytest
+import uuid_utils
 
+from hawthornbridge import operations_pb as pb
+from hawthornbridge.acceptance import ChangeAccepted
 from hawthornbridge.daemon import Daemon, run_until_stopped
 from hawthornbridge.ids import ClassName, DomainName, MapId, RouteName, ServiceName, ShardName, UpstreamId, VersionName
 from hawthornbridge.model import (
@@ -150,6 +155,27 @@
     assert any(asked_late)
 
 
+@pytest.mark.anyio
+async def test_a_domain_is_drained_through_the_operators_call(leaves):
+    """Guards against a host whose loads lack something that the check before a drain asks for."""
+    fleet = LocalFleet(1)
+    async with anyio.create_task_group() as tasks:
+        await fleet.start(tasks)
+        await fleet.apply(changes_for(leaves))
+        await covered(fleet.caller_addresses[0])
+        domain = (await fleet.configuration()).domains[DomainName("a")]
+        request = pb.MoveFailureDomainRequest(
+            operation_id=str(uuid_utils.uuid7()),
+            expected_generation=domain.generation,
+            failure_domain="a",
+            reason="maintenance",
+        )
+        outcome = await fleet.call("drain_failure_domain", request)
+        tasks.cancel_scope.cancel()
+    await fleet.stop()
+    assert isinstance(outcome, ChangeAccepted), outcome
+
+
 @pytest.mark.anyio
 async def test_a_signal_begins_the_planned_stop():
     """Guards against a server library that takes the signal and stops at once."""
@@ -174,3 +200,20 @@
     assert msgspec.json.decode(before)["addresses"] == [settings.listeners.callers]
     assert ready == 503
     assert msgspec.json.decode(after)["addresses"] == []
+
+
+@pytest.mark.anyio
+async def test_the_metrics_page_has_every_metric_that_operators_are_told_to_watch():
+    """Guards against alerts on names that do not exist."""
+    page = (Path(__file__).parent.parent / "docs" / "operations.md").read_text()
+    watched = set(re.findall(r"^\| `(hawthornbridge_\w+)`", page, re.M))
+    fleet = LocalFleet(1)
+    async with anyio.create_task_group() as tasks:
+        await fleet.start(tasks)
+        status, content = await get(fleet.operator_addresses[0], "/metrics")
+        tasks.cancel_scope.cancel()
+    await fleet.stop()
+    named = set(re.findall(r"^# HELP (\w+)", content.decode(), re.M))
+    assert status == 200
+    assert len(watched) > 5
+    assert watched <= named
