Test warm-up, allowance exchange and plug-ins, and tell developers the size to design for

Cause: three modules had no tests of their own, tests had two change logs in memory, and the README did not say what to design for. Change: tests for notices.py, warmup.py and registry.py; MemoryLog builds on the operators' fake; README. No behaviour changes.

--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -10,7 +10,7 @@
 from hawthornbridge.ids import HostId, Incarnation
 from hawthornbridge.rollouts import Verdict
 from standins.memorystore import MemoryStore, StoreFaults, StoreState
-from tests.fleet import MemoryLog
+from tests.memorylog import MemoryLog
 from tests.test_rollouts import SERVICE, base_changes
 
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -24,7 +24,7 @@
 )
 from hawthornbridge.rollouts import Rollouts
 from standins.memorystore import MemoryStore, StoreState
-from tests.fleet import MemoryLog
+from tests.memorylog import MemoryLog
 
 SERVICE = ServiceName("swapfinder")
 OLD, NEW = VersionName("v1"), VersionName("v2")
@@ -186,7 +186,7 @@
 def test_a_cut_needs_no_store_and_no_decider():
     # Guards against a bad version keeping its traffic while the store is down.
     log = MemoryLog(base_changes())
-    log.available = False
+    log.head.fault = "down"
     fleet = simulate(1, Profile(failed=0.5), log=log)
     assert fleet.rollout.state is RolloutState.RUNNING
     assert fleet.rollout.step == 0
