--- a/hawthornbridge/loads.py
+++ b/hawthornbridge/loads.py
@@ -94,7 +94,11 @@
 
     def _holders(self, service: Service, shard: ShardName, domain: DomainName, snapshot: SnapshotNumber) -> int:
         holders = self._table.usable(service.name, shard, service.version, snapshot)
-        return sum(state.upstream.failure_domain == domain for state in holders)
+        # An upstream at the start of its ramp may get a request of some hosts only, so it cannot carry the shard.
+        return sum(
+            state.upstream.failure_domain == domain and not state.ramp.is_scarce(state.upstream.id)
+            for state in holders
+        )
 
 
 def _key(load: UpstreamLoad) -> LoadKey:
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -21,10 +21,18 @@
 
 
 class Table:
-    """Report one shard with a load that the test sets."""
+    """Report one shard with a load that the test sets; the table is its only replica, and the replica's ramp."""
 
     def __init__(self):
         self.busy = 0
+        self.scarce = False
+
+    def is_scarce(self, upstream):
+        return self.scarce
+
+    @property
+    def ramp(self):
+        return self
 
     def loads(self, service=None):
         return [ShardLoad(ServiceName("desk"), ShardName("s0"), DomainName("a"), 1, self.busy, 2)]
@@ -40,6 +48,8 @@
 
 
 class FailureDomainOf:
+    id = "u1"
+
     def __init__(self, name):
         self.failure_domain = name
 
@@ -78,3 +88,13 @@
         source.sample()
     [load] = source.shard_loads()
     assert load.busy > load.slots
+
+
+@pytest.mark.anyio
+async def test_a_replica_at_the_start_of_its_ramp_does_not_count():
+    """Guards against a drain that leaves a shard to an upstream that has just restarted cold."""
+    table = Table()
+    source = loads(table)
+    table.scarce = True
+    [load] = source.shard_loads()
+    assert load.replicas == 0
