Test that a planned stop waits for a request that outlasts the validity of addresses

Cause: with the listener's drain broken on purpose (uvicorn's force_exit) every test still passed, since no request was in progress at that moment. Change: a search of at least 0.7 s is in flight when a stop with 0.1 s of validity begins.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -217,3 +217,33 @@
     assert status == 200
     assert len(watched) > 5
     assert watched <= named
+
+
+@pytest.mark.anyio
+async def test_a_stop_waits_for_a_request_that_outlasts_the_validity_of_addresses(leaves):
+    """Guards against a drain that ends while a request is in progress and cuts it off with the host's connections."""
+    fleet = LocalFleet(1, address_valid_ms=100)
+    answers = []
+
+    async def ask(address):
+        answers.append(await post(address, "/v1/search", {**BODY, "deadline_ms": 5_000}))
+
+    async with anyio.create_task_group() as tasks:
+        await fleet.start(tasks)
+        await fleet.apply(changes_for(leaves))
+        address = fleet.caller_addresses[0]
+        await covered(address)
+        for leaf in leaves:
+            leaf.service_ms = 1_000
+        async with anyio.create_task_group() as callers:
+            callers.start_soon(ask, address)
+            while not any(leaf.in_flight for leaf in leaves):
+                await anyio.sleep(0.01)
+            fleet.daemons[0].stop()
+        with anyio.fail_after(10):
+            await fleet.daemons[0].wait_stopped()
+        tasks.cancel_scope.cancel()
+    await fleet.stop()
+    [(status, answer)] = answers
+    assert status == 200
+    assert answer["coverage"]["missing"] == []
