--- a/hawthornbridge/upstreams.py
+++ b/hawthornbridge/upstreams.py
@@ -18,7 +18,6 @@
     DomainName,
     Incarnation,
     MapId,
-    RequestId,
     Seat,
     ServiceName,
     ShardName,
@@ -360,10 +359,6 @@
             return _leaving(state)
         return await state.connections.execute(request)
 
-    def cancel(self, state: UpstreamState, request_id: RequestId) -> None:
-        """Cancel a request at the upstream while its caller still waits; the call returns at once."""
-        state.connections.cancel(request_id)
-
     def receive_allowance(self, notice: AllowanceNotice) -> None:
         """Take in another host's notice of an allowance."""
         state = self._states.get(notice.upstream)
