Wait for the store's answers while they arrive, and copy only what is new to a host that changes whom it follows

Cause: after a loss of power 90 hosts with a large configuration had it 3.4 s after their starts, and bytes between failure domains were the dearest price on the grown sites. Each gave its read of the store up after 0.4 s although it was arriving, and read everything three times; each turn to another host to follow copied everything again. Change: HttpConnection.exchange takes a time without any part of the reply; the store's reads and copies use it. /joining gives what is newer than a revision and the names of the other keys; a host that finds none to follow stays with the store's watch. From another host back to the store everything is still read: the other may have held a key that the store had removed before.

--- a/hawthornbridge/httpconnection.py
+++ b/hawthornbridge/httpconnection.py
@@ -52,6 +52,7 @@
         self.idle_until_s = 0.0
         self.idle_since_s = 0.0
         self.exchanges = 0
+        self._parts = 0
         self.on_closed: Callable[[HttpConnection], None] = _ignore
         self._id_header = id_header
         self._transport: asyncio.Transport | None = None
@@ -81,9 +82,14 @@
         self._start_message()
         self._transport.write(request)
 
-    async def exchange(self, request: bytes, timeout_s: float) -> Outcome:
-        """Send a request and return its outcome; without a reply in time the connection is closed."""
-        outcome: Outcome = UpstreamFailure(FailureKind.TIMEOUT, Execution.UNKNOWN, f"no answer in {timeout_s} s")
+    async def exchange(self, request: bytes, timeout_s: float, silence_s: float | None = None) -> Outcome:
+        """Send a request and return its outcome; without a reply in time the connection is closed.
+
+        A reply of which nothing has arrived for silence_s is not waited for either.
+        """
+        silence_s = timeout_s if silence_s is None else silence_s
+        detail = f"no answer in {timeout_s} s, or nothing of it for {silence_s} s"
+        outcome: Outcome = UpstreamFailure(FailureKind.TIMEOUT, Execution.UNKNOWN, detail)
         arrived = anyio.Event()
 
         def done(result: Outcome) -> None:
@@ -94,7 +100,11 @@
         self.send(request, done)
         try:
             with anyio.move_on_after(timeout_s):
-                await arrived.wait()
+                parts = -1
+                while not arrived.is_set() and self._parts != parts:
+                    parts = self._parts
+                    with anyio.move_on_after(silence_s):
+                        await arrived.wait()
         finally:
             if not arrived.is_set():
                 # Its outcome may come with the closing, after the time is up.
@@ -122,6 +132,7 @@
         if self._done is None:
             self.close()
             return
+        self._parts += 1
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/hawthornbridge/mirror.py
+++ b/hawthornbridge/mirror.py
@@ -38,13 +38,14 @@
 class Snapshot:
     """Hold all keys below a prefix; pages may be of different revisions, none older than revision.
 
-    A snapshot from another host is age_s old.
+    A snapshot from another host is age_s old, and may only name keys that the reader has at the same revision.
     """
 
     values: tuple[Found, ...]
     revision: Revision
     held: tuple[HeldKey, ...] = ()
     age_s: float = 0.0
+    unchanged: tuple[Key, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +73,7 @@
     """Say that the store no longer has the changes after the revision asked for."""
 
 
-WatchOutcome: TypeAlias = Changes | HistoryGone | Unavailable
+WatchOutcome: TypeAlias = Changes | Snapshot | HistoryGone | Unavailable
 
 
 class WatchableStore(Protocol):
@@ -178,6 +179,9 @@
                 case HistoryGone():
                     emit(Event.STORE_HISTORY_GONE, revision=self._revision)
                     return
+                case Snapshot() as snapshot:
+                    self._heard(snapshot.age_s)
+                    self._reconcile(snapshot)
                 case Changes(events, revision, age_s):
                     self._heard(age_s)
                     for event in events:
@@ -228,7 +232,7 @@
         self.read_s = max(self.read_s, now_s - age_s)
 
     def _reconcile(self, snapshot: Snapshot) -> None:
-        present = {found.key for found in snapshot.values}
+        present = {found.key for found in snapshot.values}.union(snapshot.unchanged)
         for found in snapshot.values:
             self._apply(found)
         for key in self._values.keys() - present:
--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -27,12 +27,14 @@
     WatchableStore,
     WatchOutcome,
 )
-from hawthornbridge.store import Found, Key, Revision, Unavailable
+from hawthornbridge.store import ABSENT, Found, Key, Revision, Unavailable
 from hawthornbridge.subrequests import UpstreamFailure
 
 __all__ = ["FollowedStore", "PeerSnapshots", "SnapshotApp"]
 
 ASK_TIMEOUT_S = 0.4
+# The time for a copy that goes on arriving, beyond the time for its first part.
+COPY_TIMEOUT_S = 1.0
 # Peers that are asked in one round; the next round follows with the next call to the store that fails.
 ASKED_PEERS = 2
 # A host whose copy is older has lost the store, and those that follow it turn to another one. The store's own watch is
@@ -60,6 +62,8 @@
     age_s: float
     values: list[_Value]
     removed: list[tuple[Key, int]] = []
+    # Keys that stand at the revision asked for or an older one; the host that asks has their values.
+    unchanged: list[Key] = []
 
 
 _decoder = msgspec.msgpack.Decoder(_Message)
@@ -72,11 +76,13 @@
         self._mirror = mirror
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Send the whole copy, or wait for the next changes."""
+        """Send what is newer than a revision, or wait for the next changes."""
         query = {name.decode(): int(values[0]) for name, values in parse_qs(scope["query_string"]).items()}
         match scope["path"]:
             case "/snapshot":
-                message = self._copy(query.get("after", 0))
+                message = self._newer(query["after"])
+            case "/joining":
+                message = self._copy(query["after"])
             case "/changes":
                 message = await self._changes(query["cursor"], query["wait_ms"] / 1_000)
             case _:
@@ -87,13 +93,23 @@
         else:
             await send_answer(send, 200, [], msgspec.msgpack.encode(message))
 
+    def _newer(self, after: int) -> _Message | None:
+        message = self._copy(after)
+        return None if message is None or message.revision <= after else message
+
     def _copy(self, after: int) -> _Message | None:
+        """Return the copy, without the values of keys that have not changed after a revision."""
         snapshot = self._mirror.snapshot()
-        if snapshot is None or snapshot.revision <= after:
+        if snapshot is None:
             return None
         held = {each.key: each.left_s for each in snapshot.held}
-        values = [_Value(each.key, each.value, each.revision, held.get(each.key)) for each in snapshot.values]
-        return _Message(snapshot.revision, self._mirror.cursor, snapshot.age_s, values)
+        values, unchanged = [], []
+        for each in snapshot.values:
+            if each.revision > after or each.key in held:
+                values.append(_Value(each.key, each.value, each.revision, held.get(each.key)))
+            else:
+                unchanged.append(each.key)
+        return _Message(snapshot.revision, self._mirror.cursor, snapshot.age_s, values, unchanged=unchanged)
 
     async def _changes(self, cursor: int, wait_s: float) -> _Message | None:
         """Wait for changes, but not beyond the time at which this copy is too old to be followed."""
@@ -138,13 +154,13 @@
                 return _snapshot(message)
         return None
 
-    async def read_all(self, prefix: Key) -> Snapshot | Unavailable:
-        """Read the copy of a host that follows the store, and follow it from then on."""
+    async def join(self, after: Revision) -> Snapshot | Unavailable:
+        """Read what a host that follows the store has beyond a revision, and follow it from then on."""
         # The nearest one comes first, because copies of all hosts would otherwise cross failure domains.
         nearest, *others = self._followed() or [""]
         candidates = [nearest, *self._random.sample(others, len(others))] if nearest else []
         for address in candidates[:ASKED_PEERS]:
-            message = await _ask(address, "/snapshot", ASK_TIMEOUT_S)
+            message = await _ask(address, f"/joining?after={after}", ASK_TIMEOUT_S)
             if message is not None and message.age_s <= OLDEST_FOLLOWED_S:
                 self._source, self._cursor = address, message.cursor
                 return _snapshot(message)
@@ -177,22 +193,42 @@
 
     async def read_all(self, prefix: Key) -> Snapshot | Unavailable:
         """Read every key below a prefix; the store is asked if no host has a recent copy."""
-        if not self._reads_store():
-            snapshot = await self._peers.read_all(prefix)
-            if isinstance(snapshot, Snapshot):
-                self._follows_peer = True
+        if self._wants_peer():
+            snapshot = await self._join(ABSENT)
+            if snapshot is not None:
                 return snapshot
-            self._alone_until_s = anyio.current_time() + ALONE_S
         self._follows_peer = False
         return await self._store.read_all(prefix)
 
     async def watch_prefix(self, prefix: Key, after: Revision, wait_s: float) -> WatchOutcome:
-        """Wait for a change; HistoryGone asks for a new read when the source changes."""
-        wants_peer = not self._reads_store() and anyio.current_time() >= self._alone_until_s
-        if self._follows_peer != wants_peer:
-            return HistoryGone()
-        source = self._peers if self._follows_peer else self._store
-        return await source.watch_prefix(prefix, after, wait_s)
+        """Wait for a change, or change the source: another host sends what is newer than the revision.
+
+        The store's watch is no way on from another host, which may have held keys that the store had removed before;
+        HistoryGone then asks for a new read.
+        """
+        if not self._wants_peer():
+            return HistoryGone() if self._follows_peer else await self._store.watch_prefix(prefix, after, wait_s)
+        if self._follows_peer:
+            outcome = await self._peers.watch_prefix(prefix, after, wait_s)
+            if not isinstance(outcome, HistoryGone):
+                return outcome
+        snapshot = await self._join(after)
+        if snapshot is not None:
+            return snapshot
+        # All hosts that start at the same time would otherwise read the store once more.
+        return HistoryGone() if self._follows_peer else await self._store.watch_prefix(prefix, after, wait_s)
+
+    def _wants_peer(self) -> bool:
+        return not self._reads_store() and anyio.current_time() >= self._alone_until_s
+
+    async def _join(self, after: Revision) -> Snapshot | None:
+        match await self._peers.join(after):
+            case Snapshot() as snapshot:
+                self._follows_peer = True
+                return snapshot
+            case Unavailable():
+                self._alone_until_s = anyio.current_time() + ALONE_S
+                return None
 
 
 def _latest(values: list[_Value], removed: list[tuple[Key, int]]) -> list[_Value]:
@@ -210,7 +246,7 @@
 def _snapshot(message: _Message) -> Snapshot:
     values = tuple(Found(Key(each.key), each.value, Revision(each.revision)) for each in message.values)
     held = tuple(HeldKey(Key(each.key), each.held_s) for each in message.values if each.held_s is not None)
-    return Snapshot(values, Revision(message.revision), held, message.age_s)
+    return Snapshot(values, Revision(message.revision), held, message.age_s, tuple(message.unchanged))
 
 
 async def _ask(address: str, target: str, timeout_s: float) -> _Message | None:
@@ -218,7 +254,7 @@
     if isinstance(connection, UpstreamFailure):
         return None
     request = f"GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
-    match await connection.exchange(request.encode(), timeout_s):
+    match await connection.exchange(request.encode(), timeout_s + COPY_TIMEOUT_S, timeout_s):
         case Reply(status=200, body=body):
             return _read(body, address)
     return None
--- a/hawthornbridge/platform/store.py
+++ b/hawthornbridge/platform/store.py
@@ -32,9 +32,11 @@
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.7
 WATCH_MARGIN_S = 0.8
-# The time that a page may take, in turn: a call sent to a store that is silent is lost, so that a host that waits for
-# its first read has to ask again soon, while a slow store needs more time.
-READ_TIMEOUTS_S = (0.4, 0.4, 0.8, 3.0)
+# The time that a page may be silent, in turn: a call sent to a store that is silent is lost, so that a host that waits
+# for its first read has to ask again soon, while a slow store needs more time.
+READ_SILENCES_S = (0.4, 0.4, 0.8, 3.0)
+# The time for a page that goes on arriving: many hosts that start at once share the way from the store.
+READ_TIMEOUT_S = 4.0
 STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 412
@@ -96,8 +98,8 @@
         after = ""
         while True:
             query = {"prefix": prefix} | ({"after": after} if after else {})
-            timeout_s = READ_TIMEOUTS_S[self._failed_reads % len(READ_TIMEOUTS_S)]
-            outcome = await self._call("GET", "/kv-range", query, None, timeout_s)
+            silence_s = READ_SILENCES_S[self._failed_reads % len(READ_SILENCES_S)]
+            outcome = await self._call("GET", "/kv-range", query, None, READ_TIMEOUT_S, silence_s)
             page = _decoded(outcome, _Page)
             if isinstance(page, Unavailable):
                 self._failed_reads += 1
@@ -192,7 +194,13 @@
         return await self._call("POST", "/kv-txn", {}, body, CALL_TIMEOUT_S)
 
     async def _call(
-        self, method: str, path: str, query: dict[str, Any], body: dict[str, Any] | None, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: dict[str, Any] | None,
+        timeout_s: float,
+        silence_s: float | None = None,
     ) -> Outcome:
         self.calls += 1
         target = f"{path}?{urlencode(query)}" if query else path
@@ -200,10 +208,10 @@
         content = b"" if body is None else msgspec.json.encode(body)
         if method != "GET":
             head += f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n"
-        connection = self._take_idle() or await connect(self._address, min(timeout_s, CONNECT_TIMEOUT_S))
+        connection = self._take_idle() or await connect(self._address, min(silence_s or timeout_s, CONNECT_TIMEOUT_S))
         if isinstance(connection, UpstreamFailure):
             return connection
-        outcome = await connection.exchange(head.encode() + b"\r\n" + content, timeout_s)
+        outcome = await connection.exchange(head.encode() + b"\r\n" + content, timeout_s, silence_s)
         if not connection.closed:
             self._idle.append(connection)
         return outcome
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -18,7 +18,7 @@
 
 
 class ScriptedServer:
-    """Answer each request on a connection with the next bytes of a script; RESET and CLOSE end the connection."""
+    """Answer each request with the next bytes of a script; RESET and CLOSE end the connection, a number is a pause."""
 
     RESET, CLOSE = object(), object()
 
@@ -47,6 +47,8 @@
                     writer.transport.abort()
                 elif step is self.CLOSE:
                     writer.close()
+                elif isinstance(step, float):
+                    await asyncio.sleep(step)
                 else:
                     writer.write(step)
                     await asyncio.sleep(0.01)
@@ -146,3 +148,29 @@
 async def test_a_refused_connection_has_sent_nothing(free_port):
     outcome = await connect(f"127.0.0.1:{free_port()}", 1.0)
     assert isinstance(outcome, UpstreamFailure) and outcome.execution is Execution.NOT_RUN
+
+
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n"
+SLOW = [HEAD, 0.15, b"a", 0.15, b"b", 0.15, b"c", 0.15, b"d"]
+
+
+@pytest.mark.parametrize(
+    ("script", "timeout_s", "arrives"),
+    [
+        (SLOW, 2.0, True),
+        (SLOW, 0.4, False),
+        ([HEAD, b"a", 0.6, b"bcd"], 2.0, False),
+        ([0.6, HEAD, b"abcd"], 2.0, False),
+    ],
+    ids=["slow", "slower-than-the-whole-time", "stalled", "silent"],
+)
+async def test_a_reply_is_waited_for_while_it_goes_on_arriving(script, timeout_s, arrives):
+    """Guards against a large answer that is given up and asked for again when many hosts share the way to it."""
+    async with ScriptedServer(script) as server:
+        connection = await connect(server.address, 1.0)
+        outcome = await connection.exchange(b"GET / HTTP/1.1\r\n\r\n", timeout_s, 0.3)
+    if arrives:
+        assert isinstance(outcome, Reply) and outcome.body == b"abcd"
+    else:
+        assert isinstance(outcome, UpstreamFailure) and outcome.kind is FailureKind.TIMEOUT
+        assert connection.closed
--- a/tests/test_peersnapshots.py
+++ b/tests/test_peersnapshots.py
@@ -5,12 +5,13 @@
 import anyio
 import pytest
 
+from hawthornbridge import peersnapshots
 from hawthornbridge.listeners import Listener
 from hawthornbridge.mirror import Mirror
 from hawthornbridge.peersnapshots import FollowedStore, PeerSnapshots, SnapshotApp
 from hawthornbridge.platform.store import MetadataStore
 from hawthornbridge.settings import LimitSettings
-from hawthornbridge.store import Key
+from hawthornbridge.store import Found, Key
 from standins.platformstore import Outage, PlatformStore
 from tests.platformfakes import real_sockets
 
@@ -144,3 +145,84 @@
     """Guards against copies that cross failure domains although there is a host at hand."""
     async with site(free_port, readers=3) as (_, nodes, follower):
         assert follower.mirror._store._peers._source == nodes[0].address
+
+
+async def test_a_host_that_begins_to_follow_another_gets_only_what_is_new_to_it(free_port, monkeypatch):
+    """Guards against copies of everything that cross the network each time a host changes its source."""
+    messages = []
+    ask = peersnapshots._ask
+
+    async def recorded(*args):
+        message = await ask(*args)
+        messages.append(message)
+        return message
+
+    async with site(free_port, readers=1) as (store, nodes, _):
+        monkeypatch.setattr(peersnapshots, "_ask", recorded)
+        store.put("large", b"1" * 100_000)
+        newcomer = Node(store, free_port(), [nodes[0].address])
+        newcomer.reads_store = True
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(newcomer.run)
+            await until(lambda: "large" in newcomer.seen)
+            newcomer.reads_store = False
+            store.put("b", b"1")
+            store.remove("a")
+            await until(lambda: newcomer.mirror._store._follows_peer)
+            await until(lambda: newcomer.seen.keys() == {"large", "b"})
+            store.put("b", b"2")
+            await until(lambda: newcomer.seen["b"] == b"2")
+            tasks.cancel_scope.cancel()
+    assert "large" not in {value.key for message in messages if message for value in message.values}
+
+
+async def test_a_key_that_vanished_before_a_host_joined_another_is_removed(free_port):
+    """Guards against an upstream that is gone and stays listed, since the one it follows does not report it again."""
+    async with site(free_port, readers=1) as (store, nodes, _):
+        newcomer = Node(store, free_port(), [nodes[0].address])
+        newcomer.reads_store = True
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(newcomer.run)
+            await until(lambda: newcomer.seen == {"a": b"1"})
+            revision = newcomer.mirror._revision
+            store.remove("a")
+            await until(lambda: not nodes[0].seen)
+            newcomer.mirror._apply(Found(Key("a"), b"1", revision))
+            newcomer.reads_store = False
+            await until(lambda: newcomer.mirror._store._follows_peer)
+            assert not newcomer.seen
+            tasks.cancel_scope.cancel()
+
+
+async def test_a_host_that_finds_none_to_follow_goes_on_with_the_stores_watch(free_port):
+    """Guards against a second read of everything by each of many hosts that start at once."""
+    async with site(free_port, readers=1) as (store, _, _):
+        newcomer = Node(store, free_port(), [f"127.0.0.1:{free_port()}"])
+        newcomer.reads_store = True
+        reads = []
+        read_all = newcomer.store.read_all
+
+        async def counted(prefix):
+            reads.append(prefix)
+            return await read_all(prefix)
+
+        newcomer.store.read_all = counted
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(newcomer.run)
+            await until(lambda: newcomer.seen == {"a": b"1"})
+            newcomer.reads_store = False
+            for number in range(4):
+                store.put("b", b"%d" % number)
+                await until(lambda number=number: newcomer.seen.get("b") == b"%d" % number)
+            tasks.cancel_scope.cancel()
+        assert len(reads) == 1
+
+
+async def test_a_host_that_leaves_the_one_it_follows_for_the_store_reads_anew(free_port):
+    """Guards against a key that the other host held after the store had removed it, and that nobody reports again."""
+    async with site(free_port, readers=1) as (_, nodes, follower):
+        ghost = Found(Key("ghost"), b"1", follower.mirror._revision)
+        follower.mirror._apply(ghost)
+        assert "ghost" in follower.seen
+        nodes[0].scope.cancel()
+        await until(lambda: follower.seen == {"a": b"1"}, 4.0)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -20,6 +20,7 @@
 )
 from standins.platformstore import Outage, PlatformStore
 from tests.platformfakes import real_sockets
+from tests.test_httpconnection import ScriptedServer
 
 pytestmark = pytest.mark.anyio
 anyio_backend = real_sockets()
@@ -117,7 +118,7 @@
 async def test_an_outage_is_an_outcome_of_its_own(platform, outage, monkeypatch):
     """Guards against an exception, or an empty answer, in place of an outage."""
     monkeypatch.setattr(store_module, "CALL_TIMEOUT_S", 0.2)
-    monkeypatch.setattr(store_module, "READ_TIMEOUTS_S", (0.2,))
+    monkeypatch.setattr(store_module, "READ_SILENCES_S", (0.2,))
     monkeypatch.setattr(store_module, "WATCH_MARGIN_S", 0.1)
     store = MetadataStore(platform.address)
     platform.outage = outage
@@ -147,3 +148,14 @@
 
 async def test_a_store_that_is_not_there_had_no_effect(free_port):
     assert isinstance(await MetadataStore(f"127.0.0.1:{free_port()}").grant_lease(1.0), Unavailable)
+
+
+async def test_a_large_page_is_read_though_it_takes_long():
+    """Guards against hosts that start at once, give a page up while it arrives, and ask for it again."""
+    page = b'{"items":[{"key":"a","revision":3,"value":"dg=="}],"as_of":3}'
+    script = [b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(page)]
+    for start in range(0, len(page), 8):
+        script += [0.1, page[start : start + 8]]
+    async with ScriptedServer(script) as server:
+        found = await MetadataStore(server.address).read_all(ALL)
+    assert found == Snapshot((Found(Key("a"), b"v", Revision(3)),), Revision(3))
