--- a/measure/profile.py
+++ b/measure/profile.py
@@ -16,7 +16,8 @@
 from hawthornbridge import daemon
 from measure.deployments import KOTTAYAM
 from measure.fleet import ProcessFleet
-from measure.scenarios import POLICY, Stage
+from measure.scenarios import POLICY
+from measure.stages import Stage
 
 __all__ = ["group_of", "shares"]
 
--- a/measure/run.py
+++ b/measure/run.py
@@ -13,7 +13,8 @@
 
 from measure.fleet import ProcessFleet
 from measure.report import Result, merge_page, section, table_rows
-from measure.scenarios import NAIVE, POLICY, SCENARIOS, Scenario, Stage
+from measure.scenarios import NAIVE, POLICY, SCENARIOS, Scenario
+from measure.stages import Stage
 
 PAGE = Path(__file__).parent.parent / "docs" / "measurements.md"
 
--- a/measure/scenarios.py
+++ b/measure/scenarios.py
@@ -1,144 +1,31 @@
 """The scenarios: what happens to a fleet under load, and what has to hold."""
 
-import os
 import signal
 import time
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 import uuid_utils
 
 from hawthornbridge import operations_pb as pb
-from hawthornbridge.acceptance import ChangeAccepted
-from hawthornbridge.ids import DomainName, Generation, MapId, ServiceName, ShardName, VersionName
-from hawthornbridge.model import PutShardMap, PutUpstream, PutVersion, ShardMap, Version
-from measure.deployments import KOTTAYAM, SWAPSIES, Deployment, upstream_for
-from measure.fleet import ProcessFleet, processor_s
-from measure.load import Record
-from measure.remote import Remote
-from measure.report import Figures, Target, figures_of
+from hawthornbridge.ids import DomainName, Generation, MapId, ServiceName, ShardName
+from hawthornbridge.model import PutShardMap, ShardMap
+from measure.deployments import KOTTAYAM, SWAPSIES, Deployment
+from measure.stages import HALF_S, TARGET_MS, Stage, accepted
+from measure.versionscenarios import bad_version, good_version
 
-__all__ = ["NAIVE", "POLICY", "SCENARIOS", "Scenario", "Stage"]
+__all__ = ["NAIVE", "POLICY", "SCENARIOS", "Scenario"]
 
 POLICY: dict[str, str] = {}
 NAIVE = {"replica_choice": "random", "hedging": "naive", "admission": "fifo", "ramp": "none"}
-TARGET_MS = 120.0
 DRAIN_LIMIT_S = 3.0
 IN_FORCE_LIMIT_S = 4.0
-HALF_S = 2.0
 IDLE_S = 4.0
-HARNESS_LIMIT = 0.5
 # An incomplete answer after this time ran into its deadline; an earlier one had no replica left to ask.
 NEAR_DEADLINE_MS = 100.0
-WARM_UP_LIMIT_S = 30.0
-WARM_SHARE = 0.95
-# A load near the capacity never has complete answers only.
-WARM_UP_PER_S = 25.0
-
-
-@dataclass
-class Stage:
-    """Give a scenario its fleet and its load, and collect what it finds."""
-
-    fleet: ProcessFleet
-    per_s: float
-    duration_s: float
-    policy: str
-    records: list[Record] = field(default_factory=list)
-    figures: Figures | None = None
-    targets: list[Target] = field(default_factory=list)
-
-    def expect(self, name: str, figure: str, held: bool | None) -> None:
-        """Note a target with its figure."""
-        self.targets.append(Target(name, figure, held))
-
-    async def search(self, per_s: float, duration_s: float) -> list[Record]:
-        """Send searches and return a record of each."""
-        deployment = self.fleet.deployment
-        deadline_ms = int(TARGET_MS - 2 * deployment.caller_ms)
-        spec = deployment.search
-        records: list[Record] = []
-        searching = self.fleet.callers[:-1]  # the last one is for orders, since a process makes one call at a time
-        share = per_s / len(searching)
-
-        async def send(callers: Remote) -> None:
-            records.extend(await callers.call("searches", spec.name, spec.routes, share, duration_s, deadline_ms))
-
-        async with anyio.create_task_group() as tasks:
-            for callers in searching:
-                tasks.start_soon(send, callers)
-        return records
-
-    async def warm_up(self) -> None:
-        """Search until the ramp of the start is over and nearly every answer is complete."""
-        ended_s = anyio.current_time() + WARM_UP_LIMIT_S
-        while anyio.current_time() < ended_s:
-            records = await self.search(min(self.per_s, WARM_UP_PER_S), HALF_S)
-            complete = sum(record.coverage == 1.0 for record in records)
-            if complete and complete >= WARM_SHARE * len(records):
-                break
-        # The hedge delay needs some answers of the warm tier.
-        await self.search(self.per_s, HALF_S)
-
-    @asynccontextmanager
-    async def load(self, per_s: float | None = None, duration_s: float | None = None) -> AsyncIterator[None]:
-        """Run the load while the body acts on the fleet, and sum it up at the end."""
-        rate, duration = per_s or self.per_s, duration_s or self.duration_s
-        fleet = self.fleet
-        sub_requests, used_s = await fleet.sub_requests(), fleet.processor_s()
-        calls = fleet.store.state.calls.total()
-        harness = [*fleet.farm_pids, *(callers.pid for callers in fleet.callers), os.getpid()]
-        harness_s = [processor_s(pid) for pid in harness]
-
-        async def run() -> None:
-            self.records = await self.search(rate, duration)
-
-        started_s = anyio.current_time()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(run)
-            yield
-        elapsed_s = anyio.current_time() - started_s
-        # A host that has ended takes its counters with it, so these figures are those of the others.
-        processor = sum(now_s - used_s[address] for address, now_s in fleet.processor_s().items())
-        busy = [(processor_s(pid) - before_s) / elapsed_s for pid, before_s in zip(harness, harness_s, strict=True)]
-        calls = fleet.store.state.calls.total() - calls
-        sent: Counter[str] = Counter()
-        for address, counts in (await fleet.sub_requests()).items():
-            sent.update(counts)
-            sent.subtract(sub_requests[address])
-        self.figures = figures_of(self.records, sent, processor, elapsed_s, calls, TARGET_MS)
-        # A harness process that is nearly always busy measures itself and not the daemons.
-        figures = ", ".join(f"{share:.2f}" for share in busy)
-        self.expect(
-            f"cores used by the processes of leaves, callers, and platform (each below {HARNESS_LIMIT:g})",
-            figures,
-            max(busy) < HARNESS_LIMIT,
-        )
-
-    def domain_leaves(self, domain: str) -> list[str]:
-        """Return the leaves of the searched service in one failure domain."""
-        spec = self.fleet.deployment.search
-        return [leaf.id for leaf in spec.leaves() if leaf.failure_domain == domain]
-
-    async def received(self, ids: list[str], counter: str = "received") -> int:
-        """Return how many requests some leaves have received."""
-        counters = await self.fleet.counters()
-        return sum(counters[leaf_id][counter] for leaf_id in ids)
-
-    def expect_within(self) -> None:
-        """Expect 99% of requests answered within the target."""
-        assert self.figures is not None
-        share = self.figures.within_share
-        self.expect("99% of answers within 120 ms", f"{share:.2%}", share >= 0.99)
-
-    def expect_uncut(self) -> None:
-        """Expect that no request was cut off."""
-        assert self.figures is not None
-        self.expect("no request is cut", f"{self.figures.cut} cut", self.figures.cut == 0)
 
 
 Act = Callable[[Stage], Awaitable[None]]
@@ -248,7 +135,7 @@
     stage.expect(
         "accepted configuration in force on every host within 4 s",
         f"{in_force_s:.2f} s from the call",
-        in_force_s <= 4,
+        in_force_s <= IN_FORCE_LIMIT_S,
     )
     stage.expect("a drained domain gets no new work after 3 s", f"{late} requests in the next 5 s", late == 0)
     stage.expect_uncut()
@@ -345,70 +232,6 @@
     stage.expect_uncut()
 
 
-async def good_version(stage: Stage) -> None:
-    """A version that is as good as the old one is rolled out in 25 s."""
-    await _add_version(stage)
-    async with stage.load(duration_s=28):
-        finish_by_s = time.time() + 25
-        await _start_rollout(stage, finish_by_s)
-    rollout = (await stage.fleet.configuration()).rollouts[ServiceName(stage.fleet.deployment.search.name)]
-    detail = f"{rollout.state.value}, step {rollout.step}: {rollout.reason or 'no reason'}"
-    stage.expect("a good version arrives by its time (25 s)", detail, rollout.state.value == "done")
-    assert stage.figures is not None
-    stage.expect("coverage 1.0", f"{stage.figures.coverage:.5f}", stage.figures.coverage == 1.0)
-
-
-def bad_version(fault: dict[str, Any], bad_share: float, *, after_s: float = 0.0, outage: bool = False) -> Act:
-    """Return a scenario in which this share of the new version's sub-requests is bad, from some time on."""
-
-    async def act(stage: Stage) -> None:
-        ids = await _add_version(stage)
-        old = [leaf.id for leaf in stage.fleet.deployment.search.leaves()]
-        samples: list[tuple[float, int, int]] = []
-        began_s = 0.0
-        async with stage.load(duration_s=28):
-            await _start_rollout(stage, time.time() + 75)
-            stage.fleet.store.faults.unavailable = outage
-            base, new_base = await stage.received(old), await stage.received(ids)
-            bad_from: int | None = None
-            while len(samples) < 46:
-                new = await stage.received(ids) - new_base
-                samples.append((anyio.current_time(), new, await stage.received(old) - base))
-                if bad_from is None and samples[-1][0] - samples[0][0] >= after_s:
-                    bad_from, began_s = new, samples[-1][0]
-                    for name, value in fault.items():
-                        await stage.fleet.at_leaves("set_fault", ids, name, value)
-                await anyio.sleep(0.5)
-            stage.fleet.store.faults.unavailable = False
-        await anyio.sleep(HALF_S)
-        # Short prefixes say nothing about the share: a query of the new version has one sub-request for each shard.
-        shards = stage.fleet.deployment.search.shards
-        share = max((new / (new + seen) for _, new, seen in samples if new + seen >= 100 * shards), default=0.0)
-        stage.expect("a bad version never has more than 5% before it is judged", f"{share:.2%}", share <= 0.05)
-        assert bad_from is not None
-        for what, count in (("bad sub-requests", int(30 / bad_share)), ("queries", 30 * shards)):
-            _expect_stopped(stage, what, samples, bad_from + count)
-        ended = next(at_s for at_s, new, _ in samples if new == samples[-1][1])
-        stage.expect("last sub-request to it after the fault began", f"{ended - began_s:.1f} s", None)
-        rollout = (await stage.fleet.configuration()).rollouts[ServiceName(stage.fleet.deployment.search.name)]
-        stage.expect("it is rolled back", rollout.state.value, rollout.state.value == "rolled_back")
-
-    return act
-
-
-def _expect_stopped(stage: Stage, what: str, samples: list[tuple[float, int, int]], count: int) -> None:
-    name = f"no work 5 s after it shows in 30 {what}"
-    shown_s = next((at_s for at_s, new, _ in samples if new >= count), None)
-    if shown_s is None:
-        # It was stopped before that many; held if it got nothing at the end.
-        quiet = samples[-1][1] == samples[-10][1]
-        stage.expect(name, f"stopped after {samples[-1][1]} sub-requests" if quiet else "too few", quiet or None)
-        return
-    late = [new for at_s, new, _ in samples if at_s >= shown_s + 5]
-    growth = late[-1] - late[0] if late else 0
-    stage.expect(name, f"{growth} sub-requests in the {len(late)} samples after that", growth == 0 if late else None)
-
-
 async def new_snapshot(stage: Stage) -> None:
     """Leaves load a new snapshot one after the other; then a map with half the shards replaces the old one."""
     fleet, spec = stage.fleet, stage.fleet.deployment.search
@@ -422,7 +245,7 @@
         await anyio.sleep(3)
         await _load_snapshots(stage, ids, {2: old})
         shard_map = ShardMap(id=MapId(new), service=ServiceName(spec.name), shards=shards)
-        _accepted(await fleet.change(PutShardMap(shard_map)))
+        accepted(await fleet.change(PutShardMap(shard_map)))
         await _load_snapshots(stage, half, {2: old, 3: new})
         await anyio.sleep(3)
         await _load_snapshots(stage, half, {3: new})
@@ -470,41 +293,7 @@
         failure_domain=domain,
         reason="measured",
     )
-    return _accepted(await stage.fleet.call(method, request))
-
-
-async def _add_version(stage: Stage) -> list[str]:
-    spec = stage.fleet.deployment.search
-    leaves = [replace(leaf, connections=leaf.connections) for leaf in spec.leaves("v2")]
-    await stage.fleet.start_leaves(leaves)
-    _accepted(await stage.fleet.change(PutVersion(Version(service=ServiceName(spec.name), name=VersionName("v2")))))
-    for leaf in leaves:
-        _accepted(await stage.fleet.change(PutUpstream(upstream_for(leaf, stage.fleet.addresses[leaf.id]))))
-    # Warm-up requests to the new leaves are no traffic of the rollout, and the leaves can't tell them apart.
-    ids = [leaf.id for leaf in leaves]
-    ended_s, seen = anyio.current_time() + WARM_UP_LIMIT_S, -1
-    while anyio.current_time() < ended_s and (received := await stage.received(ids)) != seen:
-        seen = received
-        await anyio.sleep(HALF_S)
-    return ids
-
-
-async def _start_rollout(stage: Stage, finish_by_s: float) -> Generation:
-    request = pb.StartRolloutRequest(
-        operation_id=str(uuid_utils.uuid7()),
-        expected_generation=0,
-        service=stage.fleet.deployment.search.name,
-        new="v2",
-        steps=[0.05, 0.3],
-        finish_by_ms=int(finish_by_s * 1_000),
-    )
-    return _accepted(await stage.fleet.call("start_rollout", request))
-
-
-def _accepted(outcome: object) -> Generation:
-    if not isinstance(outcome, ChangeAccepted):
-        raise RuntimeError(f"the change was not accepted: {outcome}")
-    return outcome.generation
+    return accepted(await stage.fleet.call(method, request))
 
 
 FAILING = {"failing_share": 0.5}
