Bound what a look at many bad requests costs, and note the steps of rollouts apart from asking for them

Cause, found in the read-through: evidence costs 26 us for each bad request, and an order is now looked at since each of four steps: a service with 300 requests/s that is slow would take more than a core of each host. Decider._is_fresh changed what it was asked for. Change: a look at more than 200 bad requests is scaled down to that many; the decider notes the steps once a round.

--- a/hawthornbridge/decider.py
+++ b/hawthornbridge/decider.py
@@ -111,9 +111,8 @@
         """Keep or win the lease, then move each open rollout by at most one step."""
         if not any(rollout.is_open for rollout in self._log.catalogue.rollouts.values()):
             return
-        for rollout in self._log.catalogue.rollouts.values():
-            # Every host times the steps, so that a new decider need not wait at a step that has lasted long enough.
-            self._is_fresh(rollout)
+        # Every host times the steps, so that a new decider need not wait at a step that has lasted long enough.
+        self._note_steps()
         await self._keep_term()
         for rollout in list(self._log.catalogue.rollouts.values()):
             if rollout.is_open:
@@ -174,13 +173,19 @@
             return replace(rollout, step=rollout.step + 1)
         return replace(rollout, state=RolloutState.DONE, reason="every step was judged good")
 
+    def _note_steps(self) -> None:
+        now_s = anyio.current_time()
+        seen = {}
+        for rollout in self._log.catalogue.rollouts.values():
+            step, since_s = self._step_seen.get(rollout.id, (-1, now_s))
+            seen[rollout.id] = (rollout.step, since_s if step == rollout.step else now_s)
+        self._step_seen = seen
+
     def _is_fresh(self, rollout: Rollout) -> bool:
         """Return whether this host has seen the rollout at its present step for less than the least time of a step."""
-        now_s = anyio.current_time()
-        step, since_s = self._step_seen.get(rollout.id, (-1, now_s))
-        if step != rollout.step:
-            step, since_s = self._step_seen[rollout.id] = (rollout.step, now_s)
-        return now_s - since_s < rollout.least_step_s
+        # An order or a step may have come since the steps were noted.
+        step, since_s = self._step_seen.get(rollout.id, (-1, 0.0))
+        return step != rollout.step or anyio.current_time() - since_s < rollout.least_step_s
 
     async def _propose(self, rollout: Rollout, moved: Rollout) -> None:
         operation_id = OperationId(str(uuid_utils.uuid7()))
--- a/hawthornbridge/sequential.py
+++ b/hawthornbridge/sequential.py
@@ -20,6 +20,9 @@
 # Odds ratios that the test bets on; the evidence is their mean, so that mild and gross faults both show quickly.
 ALTERNATIVE_ODDS = (4.0, 16.0, 128.0)
 
+# A look at more bad requests is scaled down to this many: its cost grows with them, and these show every fault.
+MOST_BAD = 200
+
 # A version may turn bad later. A fresh e-process starts after every so many intervals, with weights that sum to 1, so
 # that earlier good behaviour does not hide a later fault.
 INTERVALS_PER_START = 5
@@ -79,12 +82,20 @@
 
 def log_evidence(seen: Iterable[Comparison]) -> float:
     """Return the logarithm of the e-value of one look at stretches that are each compared alone; -inf without any."""
-    gains = [_log_gains(comparison) for comparison in seen if _says_something(comparison)]
+    gains = [_log_gains(_scaled(comparison)) for comparison in seen if _says_something(comparison)]
     if not gains:
         return -math.inf
     return _log_sum([sum(each) for each in zip(*gains, strict=True)]) - math.log(len(ALTERNATIVE_ODDS))
 
 
+def _scaled(seen: Comparison) -> Comparison:
+    bad = seen.new_bad + seen.old_bad
+    if bad <= MOST_BAD:
+        return seen
+    part = MOST_BAD / bad
+    return Comparison(*(round(count * part) for count in (seen.new_bad, seen.new_total, seen.old_bad, seen.old_total)))
+
+
 def _says_something(seen: Comparison) -> bool:
     return bool(seen.new_bad + seen.old_bad and seen.new_total and seen.old_total)
 
--- a/tests/test_sequential.py
+++ b/tests/test_sequential.py
@@ -70,3 +70,11 @@
 
 def test_a_look_without_requests_of_both_versions_is_no_evidence():
     assert log_evidence([]) == log_evidence([Comparison(5, 20, 0, 0)]) == float("-inf")
+
+
+def test_many_bad_requests_are_weighed_like_fewer_of_the_same_shares():
+    """Guards against a look that takes a host's processor for seconds while a busy service is slow."""
+    seen = Comparison(4_000, 5_000, 40, 4_000)
+    assert log_evidence([seen]) == pytest.approx(log_evidence([Comparison(198, 248, 2, 198)]))
+    assert log_evidence([seen]) > 100
+    assert log_evidence([Comparison(3_000, 6_000, 2_000, 4_000)]) < 0
