Bound the memory of replies, and drop late replies that name no request

Cause: a reply was collected whole, whatever its size. And a reply without the header of its request's id was taken for the answer on any connection, so a late copy of an earlier reply reached the next caller.

Ruled out: that some leaves do not echo the id. A limit for each reply alone: it would have to be under 0.2 MB for 200 endless replies to fit into a host of 200 MB.

Change: a head, interim responses, blank lines, chunk extensions and trailers have 64 KiB together, a reply 256 headers, the body of a leaf 8 MiB, of the store and of another host 32 MiB. All large replies of leaves in progress have 32 MiB together; above that the largest fails. The exchange fails at once with the execution unknown, its connection is closed and the leaf gets a failure. Readers that use httpcore have the same limit on bodies. A reply without an id counts only as the first one of its connection.

--- a/hawthornbridge/hostlist.py
+++ b/hawthornbridge/hostlist.py
@@ -3,6 +3,7 @@
 import httpcore
 import msgspec
 
+from hawthornbridge.boundedbody import read_body
 from hawthornbridge.ids import HostId
 from hawthornbridge.membership import HostListOutcome, HostListUnavailable, ListedHost, ListState
 from hawthornbridge.registry import PluginKind, register
@@ -10,7 +11,7 @@
 __all__ = ["HttpHostList"]
 
 TIMEOUTS = {"timeout": {"connect": 1.0, "read": 2.0, "write": 1.0, "pool": 1.0}}
-BODY_LIMIT_BYTES = 4_194_304
+MAX_BODY_BYTES = 4_194_304
 
 
 class _HostBody(msgspec.Struct):
@@ -38,7 +39,7 @@
                 httpcore.AsyncConnectionPool() as pool,
                 pool.stream("GET", self._url, extensions=TIMEOUTS) as response,
             ):
-                body = await self._read(response)
+                body = await read_body(response, MAX_BODY_BYTES)
                 status = response.status
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             return HostListUnavailable(str(error) or type(error).__name__)
@@ -49,11 +50,3 @@
         except msgspec.MsgspecError as error:
             return HostListUnavailable(str(error))
         return [ListedHost(host.id, host.peer_address, host.caller_address, host.state) for host in decoded.hosts]
-
-    async def _read(self, response: httpcore.Response) -> bytes:
-        body = b""
-        async for part in response.aiter_stream():
-            body += part
-            if len(body) > BODY_LIMIT_BYTES:
-                raise httpcore.RemoteProtocolError("host list exceeds the size limit")
-        return body
--- a/hawthornbridge/httpconnection.py
+++ b/hawthornbridge/httpconnection.py
@@ -13,6 +13,7 @@
 import httptools
 
 from hawthornbridge.outcomes import Execution
+from hawthornbridge.replymemory import REPLY_LIMITS, ReplyLimits, ReplyMemory
 from hawthornbridge.subrequests import FailureKind, UpstreamFailure
 
 __all__ = ["HttpConnection", "Reply", "connect"]
@@ -22,6 +23,12 @@
 # Keep-alive timeout that is assumed for a server that does not send one.
 DEFAULT_KEEP_ALIVE_S = 60.0
 MIN_FINAL_STATUS = 200
+# The objects of a header take many times the bytes of a short header line.
+MAX_HEADERS = 256
+# Memory that a chunk of a body needs beside its bytes.
+CHUNK_COST_BYTES = 64
+# Size line and line ends that are allowed for each chunk.
+MAX_CHUNK_FRAMING_BYTES = 32
 
 
 @dataclass(slots=True)
@@ -40,6 +47,10 @@
         return None
 
 
+class _TooManyHeadersError(Exception):
+    """Raised in a callback to end parsing when a response has more than MAX_HEADERS headers."""
+
+
 Outcome: TypeAlias = Reply | UpstreamFailure
 OutcomeCallback: TypeAlias = Callable[[Outcome], None]
 
@@ -47,12 +58,16 @@
 class HttpConnection(asyncio.Protocol):
     """Connection that sends one request at a time and reports the complete reply or the reason for its absence."""
 
-    def __init__(self, id_header: bytes | None = None) -> None:
+    def __init__(
+        self, id_header: bytes | None = None, limits: ReplyLimits = REPLY_LIMITS, memory: ReplyMemory | None = None
+    ) -> None:
         self.closed = False
         self.idle_until_s = 0.0
         self.idle_since_s = 0.0
         self.exchanges = 0
         self._chunks_received = 0
+        self._limits = limits
+        self._memory = memory
         self.on_closed: Callable[[HttpConnection], None] = _ignore_closed
         self._id_header = id_header
         self._transport: asyncio.Transport | None = None
@@ -142,6 +157,13 @@
             self._must_close = True
         if self._complete:
             self._finish()
+            return
+        self._other_bytes += len(data)
+        self._check_limits()
+
+    def fail_oversized(self, detail: str) -> None:
+        """Close the connection because the reply in progress needs too much memory; the request may have run."""
+        self._fail(FailureKind.BAD_REPLY, detail)
 
     def eof_received(self) -> bool | None:
         """Complete a reply whose end is only marked by the end of the connection."""
@@ -170,9 +192,11 @@
         self._keep_alive_s: float | None = None
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        if self._complete:
+        """Collect one header; trailers are dropped."""
+        if self._complete or self._in_body:
             return
+        if len(self._reply.headers) >= MAX_HEADERS:
+            raise _TooManyHeadersError
         name = name.lower()
         match name:
             case b"content-length" | b"transfer-encoding":
@@ -193,6 +217,11 @@
         """Collect a part of the body."""
         if not self._complete:
             self._body.append(body)
+            self._body_bytes += len(body)
+
+    def on_chunk_header(self) -> None:
+        """Count a chunk, whose size line is not part of the body."""
+        self._body_chunks += 1
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete, unless it is an interim response or belongs to an earlier request."""
@@ -208,6 +237,7 @@
         # Called after the parser has returned, because the receiver of the reply may send the next request at once.
         reply = self._reply
         reply.body = b"".join(self._body)
+        self._release_memory()
         assert self._transport is not None
         on_outcome, self._on_outcome = self._on_outcome, None
         assert on_outcome is not None
@@ -228,12 +258,34 @@
         self._complete = False
         self._keep_open = False
         self._keep_alive_s = None
+        self._body_bytes = 0
+        self._body_chunks = 0
+        # Bytes received during this exchange, less those of bodies, are bounded too: a head, interim responses, chunk
+        # extensions and trailers may otherwise go on without end.
+        self._other_bytes = 0
+
+    def _check_limits(self) -> None:
+        other_bytes = self._other_bytes - self._body_bytes
+        body_bytes = self._body_bytes + self._body_chunks * CHUNK_COST_BYTES
+        if other_bytes > self._limits.head_bytes + self._body_chunks * MAX_CHUNK_FRAMING_BYTES:
+            self.fail_oversized(f"more than {self._limits.head_bytes} bytes of the response are not body")
+        elif body_bytes > self._limits.body_bytes:
+            self.fail_oversized(f"the response body is larger than {self._limits.body_bytes} bytes")
+        elif self._memory is not None:
+            self._memory.record(self, body_bytes)
+
+    def _release_memory(self) -> None:
+        if self._memory is not None:
+            self._memory.release(self)
 
     def _answers_another_request(self) -> bool:
         if self._request_id is None or self._id_header is None:
             return False
         echoed = self._reply.header(self._id_header)
-        return echoed is not None and echoed != self._request_id
+        if echoed is None:
+            # Only the first reply on a connection cannot be a late copy of the reply to an earlier request.
+            return self.exchanges > 1
+        return echoed != self._request_id
 
     def _fail(self, kind: FailureKind, detail: str) -> None:
         on_outcome, self._on_outcome = self._on_outcome, None
@@ -245,6 +297,9 @@
         if self.closed:
             return
         self.closed = True
+        self._release_memory()
+        # An exchange that was abandoned keeps a reference to this connection.
+        self._body = []
         on_outcome, self._on_outcome = self._on_outcome, None
         self.on_closed(self)
         if on_outcome is not None:
@@ -268,13 +323,21 @@
     return None
 
 
-async def connect(address: str, timeout_s: float, id_header: bytes | None = None) -> HttpConnection | UpstreamFailure:
+async def connect(
+    address: str,
+    timeout_s: float,
+    id_header: bytes | None = None,
+    limits: ReplyLimits = REPLY_LIMITS,
+    memory: ReplyMemory | None = None,
+) -> HttpConnection | UpstreamFailure:
     """Open a connection; a failure means that nothing has been sent."""
     host, _, port = address.partition(":")
     loop = asyncio.get_running_loop()
     try:
         with anyio.fail_after(timeout_s):
-            _, connection = await loop.create_connection(lambda: HttpConnection(id_header), host, int(port))
+            _, connection = await loop.create_connection(
+                lambda: HttpConnection(id_header, limits, memory), host, int(port)
+            )
     except (OSError, TimeoutError) as error:
         return UpstreamFailure(FailureKind.CONNECT, Execution.NOT_RUN, f"no connection to {address}: {error!r}")
     return connection
--- a/hawthornbridge/leafclient.py
+++ b/hawthornbridge/leafclient.py
@@ -13,6 +13,7 @@
 from hawthornbridge.ids import RouteName
 from hawthornbridge.leaves import InFlightRequest, Leaf
 from hawthornbridge.outcomes import Execution
+from hawthornbridge.replymemory import REPLY_LIMITS, ReplyMemory
 from hawthornbridge.subrequests import FailureKind, UpstreamFailure
 
 __all__ = ["Exchange", "ExchangeStatus", "LeafClient", "classify_outcome"]
@@ -99,6 +100,7 @@
         self._on_classified = on_classified
         self._tasks = tasks
         self._clock = clock
+        self._memory = ReplyMemory()
         self.opened = 0
         self.sent = 0
 
@@ -142,7 +144,9 @@
 
     async def _connect_and_send(self, exchange: Exchange) -> None:
         leaf = exchange.leaf
-        connection = await connect(leaf.entry.address, CONNECT_TIMEOUT_S, self._names.request_id)
+        connection = await connect(
+            leaf.entry.address, CONNECT_TIMEOUT_S, self._names.request_id, REPLY_LIMITS, self._memory
+        )
         if isinstance(connection, UpstreamFailure):
             leaf.connections -= 1
             leaf.record_unreachable(self._clock())
--- a/hawthornbridge/leafhttp.py
+++ b/hawthornbridge/leafhttp.py
@@ -8,6 +8,7 @@
 import httpcore
 import msgspec
 
+from hawthornbridge.boundedbody import read_body
 from hawthornbridge.ids import Incarnation, MapId, RequestId, RouteName, ShardName, SnapshotNumber, VersionName
 from hawthornbridge.outcomes import Execution
 from hawthornbridge.registry import PluginKind, register
@@ -31,6 +32,8 @@
 
 __all__ = ["HttpChannel", "HttpUpstreamProtocol"]
 
+MAX_BODY_BYTES = 8_388_608
+
 
 class _HitBody(msgspec.Struct):
     id: str
@@ -248,7 +251,7 @@
         )
         try:
             response = await self._connection.handle_async_request(request)
-            content = await response.aread()
+            content = await read_body(response, MAX_BODY_BYTES)
             await response.aclose()
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.ConnectionNotAvailable) as error:
             return UpstreamFailure(FailureKind.RESET, Execution.UNKNOWN, str(error) or type(error).__name__)
--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -27,6 +27,7 @@
     WatchableStore,
     WatchOutcome,
 )
+from hawthornbridge.replymemory import STORE_REPLY_LIMITS
 from hawthornbridge.store import ABSENT, Found, Key, Revision, Unavailable
 from hawthornbridge.subrequests import UpstreamFailure
 
@@ -256,7 +257,7 @@
 
 
 async def _fetch(address: str, target: str, timeout_s: float) -> _Message | None:
-    connection = await connect(address, REQUEST_TIMEOUT_S)
+    connection = await connect(address, REQUEST_TIMEOUT_S, limits=STORE_REPLY_LIMITS)
     if isinstance(connection, UpstreamFailure):
         return None
     request = f"GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
--- a/hawthornbridge/platform/store.py
+++ b/hawthornbridge/platform/store.py
@@ -11,6 +11,7 @@
 from hawthornbridge.httpconnection import HttpConnection, Outcome, Reply, connect
 from hawthornbridge.mirror import Changes, HistoryGone, Removed, Snapshot
 from hawthornbridge.outcomes import Execution
+from hawthornbridge.replymemory import STORE_REPLY_LIMITS
 from hawthornbridge.store import (
     Ambiguous,
     Applied,
@@ -210,7 +211,7 @@
         if method != "GET":
             head += f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n"
         connection = self._take_idle() or await connect(
-            self._address, min(read_timeout_s or timeout_s, CONNECT_TIMEOUT_S)
+            self._address, min(read_timeout_s or timeout_s, CONNECT_TIMEOUT_S), limits=STORE_REPLY_LIMITS
         )
         if isinstance(connection, UpstreamFailure):
             return connection
--- a/hawthornbridge/storehttp.py
+++ b/hawthornbridge/storehttp.py
@@ -7,6 +7,7 @@
 import httpcore
 import msgspec
 
+from hawthornbridge.boundedbody import read_body
 from hawthornbridge.registry import PluginKind, register
 from hawthornbridge.store import (
     ABSENT,
@@ -37,6 +38,8 @@
 # Added to the requested wait of a watch to give its timeout.
 WATCH_MARGIN_S = 0.5
 CONNECTIONS = 16
+# A value holds up to 1 MB, which JSON makes a third longer, and a list holds several values.
+MAX_BODY_BYTES = 33_554_432
 
 # Statuses of calls that had no effect: bad request, not found, value too large, rate exceeded, out of service.
 STATUS_WITHOUT_EFFECT = frozenset({400, 404, 413, 429, 503})
@@ -212,7 +215,7 @@
         try:
             with anyio.fail_after(timeout_s):
                 response = await self._pool.handle_async_request(request)
-                answer = await response.aread()
+                answer = await read_body(response, MAX_BODY_BYTES)
                 await response.aclose()
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
             return Unavailable(f"{type(error).__name__}: {error}")
--- a/standins/platformleaf.py
+++ b/standins/platformleaf.py
@@ -7,14 +7,36 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from standins.server import Answer, Call, Drop, End, Raw, Server
+from standins.server import REPEATED_BYTES, Answer, Call, Drop, End, Raw, Server
 
-__all__ = ["ExecutedRequest", "PlatformLeaf", "PlatformLeafFaults"]
+__all__ = ["ENDLESS_REPLIES", "ExecutedRequest", "PlatformLeaf", "PlatformLeafFaults"]
 
 RECORD_BYTES = 16
 STATUS_MISDIRECTED = 421
 
 
+def _endless(beginning: bytes, repeated: bytes) -> bytes:
+    return beginning + repeated * (REPEATED_BYTES // len(repeated))
+
+
+# Replies whose end is repeated until the client closes; the length of each repeated part divides REPEATED_BYTES.
+ENDLESS_REPLIES = {
+    "chunked body": _endless(
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", b"1f9\r\n" + b"x" * 505 + b"\r\n"
+    ),
+    "tiny chunks": _endless(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", b"3\r\nxxx\r\n"),
+    "body without a length": _endless(b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "body with a length": _endless(b"HTTP/1.1 200 OK\r\ncontent-length: 9999999999999\r\n\r\n", b"x"),
+    "header lines": _endless(b"HTTP/1.1 200 OK\r\n", b"a: bcd\r\n"),
+    "header line": _endless(b"HTTP/1.1 200 OK\r\nlong: ", b"x"),
+    "status line": _endless(b"HTTP/1.1 200 ", b"x"),
+    "interim responses": _endless(b"", b"HTTP/1.1 100 C\r\na: bcdefghij\r\n\r\n"),
+    "blank lines": _endless(b"", b"\r\n"),
+    "chunk extension": _endless(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;", b"x"),
+    "trailers": _endless(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", b"a: bcd\r\n"),
+}
+
+
 @dataclass
 class PlatformLeafFaults:
     """Faults of a leaf; each share is the probability, from 0 to 1, that an answer has the fault."""
@@ -28,6 +50,8 @@
     unframed_share: float = 0.0
     reset_share: float = 0.0
     rubbish_share: float = 0.0
+    # Name of an endless reply that is sent to every request.
+    endless: str | None = None
     extra_delay_s: float = 0.005
 
 
@@ -136,6 +160,8 @@
             return Drop()
         if self._occurs(faults.fail_share):
             return Answer(500, b"failed", headers=headers)
+        if faults.endless is not None:
+            return Raw(ENDLESS_REPLIES[faults.endless], End.NEVER)
         if self._occurs(faults.rubbish_share):
             return Raw(b"\x00\x01 this is no response\r\n\r\n")
         head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers.items())
--- a/standins/server.py
+++ b/standins/server.py
@@ -12,7 +12,10 @@
 
 import httptools
 
-__all__ = ["Answer", "Call", "Drop", "End", "Handler", "Raw", "Server"]
+__all__ = ["REPEATED_BYTES", "Answer", "Call", "Drop", "End", "Handler", "Raw", "Server"]
+
+REPEATED_BYTES = 8_192
+REPEAT_INTERVAL_S = 0.001
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +52,8 @@
     KEEP = "keep"
     CLOSE = "close"
     RESET = "reset"
+    # The last REPEATED_BYTES of the answer are sent again and again until the client closes the connection.
+    NEVER = "never"
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +131,7 @@
             self._transport.abort()
             return
         if isinstance(answer, Raw):
-            self._send_raw(answer)
+            await self._send_raw(answer)
             return
         content = answer.body if isinstance(answer.body, bytes) else json.dumps(answer.body).encode()
         phrase = HTTPStatus(answer.status).phrase if answer.status != 499 else "Client Closed Request"
@@ -134,15 +139,23 @@
         head += "".join(f"{name}: {value}\r\n" for name, value in answer.headers.items())
         self._transport.write((head.encode() + b"\r\n" + content) * answer.copies)
 
-    def _send_raw(self, answer: Raw) -> None:
+    async def _send_raw(self, answer: Raw) -> None:
         assert self._transport is not None
         self._transport.write(answer.content)
         match answer.end:
+            case End.NEVER:
+                await self._repeat(self._transport, answer.content[-REPEATED_BYTES:])
             case End.CLOSE:
                 self._transport.close()
             case End.RESET:
                 self._transport.abort()
 
+    async def _repeat(self, transport: asyncio.Transport, content: bytes) -> None:
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() == 0:
+                transport.write(content * 8)
+            await asyncio.sleep(REPEAT_INTERVAL_S)
+
 
 class Server:
     """HTTP server of one stand-in on a loopback port."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,4 +1,5 @@
 import random
+import tracemalloc
 
 import anyio
 import pytest
@@ -306,3 +307,38 @@
         for number in range(6):
             await Caller(gateway).ask("/one/x", request_id=f"r{number}")
     assert not new.runs and all(leaf.runs for leaf in old)
+
+
+@pytest.mark.parametrize("reply", ["chunked body", "header lines", "header line"])
+async def test_many_endless_replies_at_once_cost_neither_answers_nor_much_memory(reply):
+    """Guards against servers whose bytes without end take a host down, and with it the requests to sound servers."""
+    endless = [PlatformLeaf(f"bad-{n}", f"t{n}", faults=PlatformLeafFaults(endless=reply)) for n in range(200)]
+    sound = replicas()
+    statuses = []
+    tracemalloc.start()
+    try:
+        async with gateway_over(
+            endless + sound,
+            gather_route([leaf.service for leaf in endless], name="bad", prefix=b"/bad/"),
+            # The 204 stand-ins run in the same process, so the objective is longer than that of the other tests.
+            gather_route(SHARDS, objective_s=2.0),
+        ) as (gateway, _):
+
+            async def ask_for_endless():
+                status, _, _ = await Caller(gateway).ask("/bad/q", request_id="bad")
+                statuses.append(status)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask_for_endless)
+                with anyio.fail_after(10):
+                    for number in range(5):
+                        status, headers, _ = await Caller(gateway).ask(
+                            f"/all/{number}", request_id=f"r{number}", deadline_ms=5_000
+                        )
+                        assert status == 200 and headers["hawthornbridge-missing-parts"] == "0"
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert statuses and statuses[0] in (502, 504)
+    # A third of the smallest host; the stand-ins and the buffers of their transports are included.
+    assert peak_bytes < 67_000_000
--- a/tests/test_hostlist.py
+++ b/tests/test_hostlist.py
@@ -3,6 +3,8 @@
 from hawthornbridge.hostlist import HttpHostList
 from hawthornbridge.membership import HostListUnavailable, ListedHost, ListState
 from standins.hostlist import HostList, HostListFaults
+from standins.platformleaf import ENDLESS_REPLIES
+from standins.server import End, Raw, Server
 
 LINE = ListedHost("entry-1", "127.0.0.1:1", "127.0.0.1:2", ListState.LIVE)
 
@@ -37,6 +39,22 @@
     assert isinstance(await read(HostList(faults)), HostListUnavailable)
 
 
+@pytest.mark.anyio
+async def test_an_endless_list_returns_an_outcome():
+    """Guards against a host list whose bytes without end fill the memory of the host."""
+
+    async def send_endlessly(call):
+        return Raw(ENDLESS_REPLIES["chunked body"], End.NEVER)
+
+    server = Server(send_endlessly)
+    await server.start()
+    try:
+        outcome = await HttpHostList(server.address).hosts()
+    finally:
+        await server.stop()
+    assert isinstance(outcome, HostListUnavailable) and "larger than" in outcome.detail
+
+
 @pytest.mark.anyio
 async def test_a_lagging_list_shows_the_earlier_state():
     """Guards against a stand-in that shows a change before its lag has passed."""
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -1,13 +1,17 @@
 import asyncio
 import socket
 import struct
+import tracemalloc
 
 import anyio
 import pytest
 
 from hawthornbridge.httpconnection import Reply, connect
 from hawthornbridge.outcomes import Execution
+from hawthornbridge.replymemory import REPLY_LIMITS
 from hawthornbridge.subrequests import FailureKind, UpstreamFailure
+from standins.platformleaf import ENDLESS_REPLIES
+from standins.server import End, Raw, Server
 from tests.platformfakes import real_sockets
 
 pytestmark = pytest.mark.anyio
@@ -135,6 +139,57 @@
         assert connection.closed
 
 
+@pytest.mark.parametrize(
+    "late_copy",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold",
+        b"HTTP/1.1 200 OK\r\nattempt: 1\r\ncontent-length: 3\r\n\r\nold",
+        b"HTTP/1.1 500 Failed\r\ncontent-length: 3\r\n\r\nold",
+    ],
+    ids=["without-id", "with-the-first-id", "failure-without-id"],
+)
+@pytest.mark.parametrize("answered", [True, False])
+async def test_a_late_copy_on_a_reused_connection_answers_no_later_request(late_copy, answered):
+    """Guards against the reply to an earlier request that reaches the caller of a later one."""
+    own = b"HTTP/1.1 200 OK\r\nattempt: 2\r\ncontent-length: 3\r\n\r\nnew"
+    async with ScriptedServer([OK], [late_copy, 0.02, own if answered else CLOSE]) as server:
+        connection = await connect(server.address, 1.0, ID)
+        await exchange(connection)
+        outcome = await exchange(connection, b"2")
+    if answered:
+        assert isinstance(outcome, Reply) and outcome.body == b"new"
+    else:
+        assert isinstance(outcome, UpstreamFailure) and outcome.execution is Execution.UNKNOWN
+    assert not connection.is_usable(anyio.current_time())
+
+
+@pytest.mark.parametrize("reply", ENDLESS_REPLIES)
+async def test_an_endless_reply_fails_at_once_and_takes_bounded_memory(reply):
+    """Guards against a server whose bytes without end fill the memory of the host."""
+
+    async def send_endlessly(call):
+        return Raw(ENDLESS_REPLIES[reply], End.NEVER)
+
+    server = Server(send_endlessly)
+    await server.start()
+    outcomes = []
+    connection = await connect(server.address, 1.0, ID)
+    tracemalloc.start()
+    try:
+        connection.send(b"GET / HTTP/1.1\r\n\r\n", outcomes.append, b"1")
+        with anyio.move_on_after(10):
+            while not outcomes:
+                await anyio.sleep(0.002)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+        connection.close()
+        await server.stop()
+    assert [(each.kind, each.execution) for each in outcomes] == [(FailureKind.BAD_REPLY, Execution.UNKNOWN)]
+    # The limit twice, because the parts are joined, and what the server and the transport buffer.
+    assert peak_bytes < 2 * REPLY_LIMITS.body_bytes + 2_000_000
+
+
 async def test_a_connection_is_idle_for_less_than_the_server_announces():
     """Guards against requests on a connection that the server is about to close."""
     reply = b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=2, max=9\r\ncontent-length: 0\r\n\r\n"
--- a/tests/test_leafhttp.py
+++ b/tests/test_leafhttp.py
@@ -1,6 +1,7 @@
 import fcntl
 import socket
 import time
+import tracemalloc
 
 import anyio
 import pytest
@@ -23,6 +24,8 @@
     UpstreamRefusalKind,
 )
 from standins.leaf import Leaf
+from standins.platformleaf import ENDLESS_REPLIES
+from standins.server import Answer, End, Raw, Server
 
 pytestmark = pytest.mark.anyio
 
@@ -195,6 +198,48 @@
         assert time.monotonic() - started_s < 1
 
 
+STATUS_BODY = {
+    "healthy": True,
+    "draining": False,
+    "in_flight": 0,
+    "slots": 2,
+    "incarnation": 1,
+    "version": "v1",
+    "snapshots": [],
+}
+
+
+@pytest.mark.parametrize("reply", ["chunked body", "header lines", "header line", "interim responses"])
+async def test_an_endless_reply_is_a_failure_that_takes_bounded_memory(reply, monkeypatch):
+    """Guards against an upstream whose bytes without end fill the memory of the host."""
+
+    async def send_endlessly(call):
+        if call.path == "/v1/status":
+            return Answer(200, STATUS_BODY)
+        return Raw(ENDLESS_REPLIES[reply], End.NEVER)
+
+    monkeypatch.setattr(leafhttp, "MAX_BODY_BYTES", 1_000_000)
+    server = Server(send_endlessly)
+    await server.start()
+    channel = await HttpUpstreamProtocol().connect(server.address, 1.0)
+    tracemalloc.start()
+    outcome = None
+    try:
+        # Interim responses have no limit of their own; the deadline of the exchange ends them.
+        with anyio.move_on_after(1.0):
+            outcome = await channel.execute(execute())
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+        await channel.aclose()
+        await server.stop()
+    if reply == "interim responses":
+        assert outcome is None
+    else:
+        assert failure(FailureKind.RESET)(outcome)
+    assert peak_bytes < 5_000_000
+
+
 class HighStream:
     """Stand in for an anyio stream whose socket has a descriptor above 1024."""
 
--- a/tests/test_storehttp.py
+++ b/tests/test_storehttp.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from hawthornbridge import storehttp
 from hawthornbridge.store import (
     ABSENT,
     VALUE_LIMIT_BYTES,
@@ -25,6 +26,8 @@
 )
 from hawthornbridge.storehttp import HttpStore
 from standins.memorystore import Fault, MemoryStore
+from standins.platformleaf import ENDLESS_REPLIES
+from standins.server import End, Raw, Server
 from standins.store import StoreServer
 
 KEY = Key("a/b c?&é")
@@ -241,3 +244,25 @@
         assert await store.watch(KEY, ABSENT, 0.01) == WatchTimeout()
         fake.faults.watch_lag_s = 0
         assert isinstance(await store.watch(KEY, ABSENT, 20), Found)
+
+
+@pytest.mark.anyio
+async def test_an_endless_answer_of_the_store_is_given_up(monkeypatch):
+    """Guards against an answer whose bytes without end fill the memory of the host."""
+
+    async def send_endlessly(call):
+        return Raw(ENDLESS_REPLIES["chunked body"], End.NEVER)
+
+    # The limit is lower, because httpcore takes seconds to read 32 MB.
+    monkeypatch.setattr(storehttp, "MAX_BODY_BYTES", 1_000_000)
+    server = Server(send_endlessly)
+    await server.start()
+    client = HttpStore(server.address, call_timeout_s=CONTRACT_TIMEOUT_S)
+    try:
+        read = await client.get(KEY)
+        written = await client.compare_and_swap(KEY, b"1", ABSENT)
+    finally:
+        await client.aclose()
+        await server.stop()
+    assert isinstance(read, Unavailable) and "larger than" in read.detail
+    assert isinstance(written, Ambiguous) and "larger than" in written.detail
