Answer the requests that a host has accepted when it stops listening

Ruled out as enough: accepting everything and polling each connection just before closing.

Change: a drain first drops the first segments of new connections (a socket filter), waits 10 ms for handshakes, accepts what waits and then closes the listening socket. A connection is closed once it has been quiet for 0.5 s, and never with unread bytes; the same holds for the idle timeout.

--- a/hawthornbridge/listeners.py
+++ b/hawthornbridge/listeners.py
@@ -13,12 +13,18 @@
 from hawthornbridge.callers import ASGIApp, Message, Receive, Scope, Send
 from hawthornbridge.outcomes import Execution, RefusalKind
 from hawthornbridge.settings import LimitSettings
+from hawthornbridge.sockets import accept_all, drop_new_connections, has_unread_bytes, listening_socket
 
 __all__ = ["Listener"]
 
 POLL_INTERVAL_S = 0.01
 # Longer than the interval between two requests of a busy caller, so that such a caller seldom has to reconnect.
 KEEP_ALIVE_TIMEOUT_S = 15
+# A drain closes a connection once it has been quiet for this long, because a busy caller may send its next request at
+# the moment in which the connection is closed.
+QUIET_BEFORE_CLOSE_S = 0.5
+# Time for handshakes in progress to complete before the listening socket is closed.
+HANDSHAKE_WAIT_S = 0.01
 
 
 class _HeadTooLongError(Exception):
@@ -36,9 +42,12 @@
     url = b""
     _refusal_body: bytes | None = None
     _head_timer: asyncio.TimerHandle | None = None
+    # When the connection was opened or its latest answer sent, on the clock of the event loop.
+    _last_event_s = 0.0
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
+        self._last_event_s = self.loop.time()
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -80,11 +89,29 @@
             self._refuse(400, "not an HTTP/1.1 request", "head")
 
     def shutdown(self) -> None:
-        """Close the connection, but first answer a request whose head has been received in part."""
+        """Close the connection once it is idle; a request that has been received, read or not, is answered first."""
         self._closing = True
-        if not self._reading_head:
+        if self._reading_head or self.transport.is_closing():
+            return
+        quiet_s = self.loop.time() - self._last_event_s
+        if quiet_s < QUIET_BEFORE_CLOSE_S and (self.cycle is None or self.cycle.response_complete):
+            self.loop.call_later(QUIET_BEFORE_CLOSE_S - quiet_s, self.shutdown)
+        elif not self._has_unread_bytes():
             super().shutdown()
 
+    def on_response_complete(self) -> None:
+        self._last_event_s = self.loop.time()
+        super().on_response_complete()
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close a connection that has been idle, unless a request has arrived while the event loop was busy."""
+        if not self._has_unread_bytes():
+            super().timeout_keep_alive_handler()
+
+    def _has_unread_bytes(self) -> bool:
+        # A connection that is closed with unread bytes is reset, and the request is lost without an answer.
+        return has_unread_bytes(self.transport.get_extra_info("socket"))
+
     def _start_head_timer(self) -> None:
         if self._head_timer is None:
             self._head_timer = self.loop.call_later(self.limits.read_ms / 1_000, self._on_head_timeout)
@@ -123,6 +150,28 @@
         """Install no signal handlers."""
         yield
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stop listening and end every connection, but answer all requests that have been received."""
+        loop = asyncio.get_running_loop()
+        listeners = sockets or []
+        for listening in listeners:
+            drop_new_connections(listening)
+        await asyncio.sleep(HANDSHAKE_WAIT_S)
+        for listening, server in zip(listeners, self.servers, strict=True):
+            # Closing the socket resets connections that are established but not accepted yet.
+            loop.remove_reader(listening)
+            waiting = accept_all(listening)
+            server.close()
+            for connection in waiting:
+                await loop.connect_accepted_socket(self._create_protocol, connection)
+        await super().shutdown(sockets)
+
+    def _create_protocol(self) -> asyncio.Protocol:
+        config = self.config
+        return config.http_protocol_class(  # type: ignore[call-arg]
+            config=config, server_state=self.server_state, app_state=self.lifespan.state
+        )
+
 
 class Listener:
     """Listener that serves one ASGI application on one or more addresses until it is drained."""
@@ -152,7 +201,7 @@
     async def run(self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Listen and serve; return once the listener is drained."""
         with contextlib.ExitStack() as stack:
-            listening = [stack.enter_context(_listening_socket(address)) for address in self._addresses]
+            listening = [stack.enter_context(listening_socket(address)) for address in self._addresses]
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._run_server, listening)
                 while not self._server.started:
@@ -193,13 +242,3 @@
             await self._app(scope, receive, send_closing)
         finally:
             self.in_progress -= 1
-
-
-def _listening_socket(address: str) -> socket.socket:
-    # asyncio disables Nagle's algorithm only on sockets that are created with IPPROTO_TCP. With the algorithm on, the
-    # second of two writes of an answer waits for the peer's delayed acknowledgement, about 40 ms.
-    host, _, port = address.partition(":")
-    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listening.bind((host, int(port)))
-    return listening
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -1,3 +1,8 @@
+import select
+import socket
+import threading
+import time
+
 import anyio
 import pytest
 
@@ -125,3 +130,73 @@
             with anyio.fail_after(5):
                 assert b"connection: close" in await read_all(stream)
         await listener.drain()
+
+
+class CallerThread(threading.Thread):
+    """Send requests over blocking sockets until the listener takes no more connections; count those without an answer.
+
+    Threads keep sending while the application holds the event loop, as callers on other machines do.
+    """
+
+    def __init__(self, port, keeps_connection):
+        super().__init__(daemon=True)
+        self._port = port
+        self._keeps_connection = keeps_connection
+        self.answered = 0
+        self.unanswered = []
+
+    def run(self):
+        connection = None
+        while True:
+            if connection is None:
+                try:
+                    connection = socket.create_connection(("127.0.0.1", self._port), 5)
+                except OSError:
+                    return
+            elif select.select([connection], [], [], 0)[0]:
+                connection = connection.close()
+                continue
+            answer = self._exchange(connection)
+            if not self._keeps_connection or b"connection: close" in answer or not answer:
+                connection = connection.close()
+
+    def _exchange(self, connection):
+        answer = b""
+        try:
+            connection.sendall(REQUEST)
+            while b"\r\n\r\n" not in answer:
+                part = connection.recv(4_096)
+                if not part:
+                    raise ConnectionError("closed without an answer")
+                answer += part
+        except OSError as error:
+            self.unanswered.append(error)
+            return b""
+        self.answered += 1
+        return answer
+
+
+@pytest.mark.parametrize("hold_s", [0.002, 0.01])
+@pytest.mark.parametrize("play", range(3))
+@pytest.mark.anyio
+async def test_a_drain_under_load_cuts_off_no_request(free_port, hold_s, play):
+    """Guards against requests that are reset in the accept queue or in the buffer of a connection that is closed."""
+    port = free_port()
+
+    async def hold_the_loop(scope, receive, send):
+        time.sleep(hold_s)
+        await send_json(send, 200, {})
+
+    listener = Listener(hold_the_loop, f"127.0.0.1:{port}", LimitSettings())
+    callers = [CallerThread(port, keeps_connection) for keeps_connection in [True, False] * 10]
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(listener.run)
+        for caller in callers:
+            caller.start()
+        await anyio.sleep(0.3)
+        with anyio.fail_after(20):
+            await listener.drain()
+    for caller in callers:
+        await anyio.to_thread.run_sync(caller.join, 10)
+    assert sum(caller.answered for caller in callers) > 20
+    assert [error for caller in callers for error in caller.unanswered] == []
