Keep removed keys out of older copies of the store

A machine that had been suspended passed its copy on as recent, because the event loop's clock stands still meanwhile.

Pages of one read may have been read later than the first, and the test of such a read stays as it is.

Change: an unknown key whose revision is lower than the copy's is dropped, and the copy's revision never goes back. Of two hosts that are asked, the newest copy is taken. The age of a copy is counted on the clock that includes suspensions.

--- a/hawthornbridge/entryhost.py
+++ b/hawthornbridge/entryhost.py
@@ -13,6 +13,7 @@
 from prometheus_client import CollectorRegistry, Gauge
 
 from hawthornbridge.callers import ASGIApp
+from hawthornbridge.clocks import boot_time_s
 from hawthornbridge.directory import Directory
 from hawthornbridge.entrysettings import EntrySettings
 from hawthornbridge.events import Event, emit
@@ -138,7 +139,7 @@
             ALL_KEYS,
             self._on_change,
             store_format.may_lapse,
-            clock,
+            boot_time_s,
             peers.newer_than,
             store_format.reports_rewrites,
         )
--- a/hawthornbridge/mirror.py
+++ b/hawthornbridge/mirror.py
@@ -239,7 +239,7 @@
         for key in self._values.keys() - present:
             if self._values[key].revision <= snapshot.revision:
                 self._apply(Removed(key, snapshot.revision))
-        self._revision = snapshot.revision
+        self._revision = max(self._revision, snapshot.revision)
         self.is_synced = True
         self._end_held()
 
@@ -249,6 +249,9 @@
             case Found(key, value, revision):
                 if known is not None and known.revision >= revision:
                     return
+                if known is None and revision < self._revision:
+                    # The key has been removed since; an older copy, which another host may have, still has it.
+                    return
                 self._values[key] = event
                 self._held.pop(key, None)
                 if known is None or known.value != value or self._reports_rewrites(key):
--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -152,14 +152,26 @@
         self._cursor = 0
 
     async def newer_than(self, revision: Revision) -> Snapshot | None:
-        """Return the first newer copy from a random few of the peers, or None."""
+        """Return the newest copy that a random few of the peers have, or None if none is newer than the revision.
+
+        A single peer may have lost the store long ago, so that its copy still has keys that were removed since.
+        """
         peers = self._peers()
-        for address in self._random.sample(peers, min(MAX_PEERS_PER_ROUND, len(peers))):
+        copies: dict[str, _Message] = {}
+
+        async def fetch(address: str) -> None:
             message = await _fetch(address, f"/snapshot?after={revision}", REQUEST_TIMEOUT_S)
             if message is not None:
-                emit(Event.PEER_SNAPSHOT_TAKEN, peer=address, revision=message.revision, before=revision)
-                return _snapshot(message)
-        return None
+                copies[address] = message
+
+        async with anyio.create_task_group() as tasks:
+            for address in self._random.sample(peers, min(MAX_PEERS_PER_ROUND, len(peers))):
+                tasks.start_soon(fetch, address)
+        if not copies:
+            return None
+        newest = max(copies, key=lambda address: copies[address].revision)
+        emit(Event.PEER_SNAPSHOT_TAKEN, peer=newest, revision=copies[newest].revision, before=revision)
+        return _snapshot(copies[newest])
 
     async def join(self, after: Revision) -> Snapshot | Unavailable:
         """Read a copy from a host that watches the store, with the values after a revision, and follow that host."""
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -91,6 +91,20 @@
     assert [(key, value) for _, key, value in seen] == [("a", b"new")]
 
 
+@pytest.mark.parametrize("in_watch", [False, True])
+async def test_an_older_copy_brings_no_removed_key_back(in_watch):
+    """Guards against a leaf that had left, or a withdrawn key, that is in use again after another host restarted."""
+    old = snapshot(8, found("a", b"1", 3), found("b", b"1", 4))
+    if in_watch:
+        reads, watches = [snapshot(9, found("b", b"2", 9))], [(0.1, changes(10, found("c", b"1", 10))), (0.1, old)]
+    else:
+        reads = [snapshot(9, found("b", b"2", 9)), old]
+        watches = [(0.1, changes(10, found("c", b"1", 10))), (0.1, HistoryGone())]
+    seen, store = await reports(reads, watches, may_lapse=lambda key: False)
+    assert ("a", b"1") not in [(key, value) for _, key, value in seen]
+    assert not store.reads and store.watched_after[-1] >= 10
+
+
 async def test_a_page_read_after_the_first_keeps_what_was_written_meanwhile():
     """Guards against dropping a key that was created between the pages of a read."""
     seen, _ = await reports(
--- a/tests/test_peersnapshots.py
+++ b/tests/test_peersnapshots.py
@@ -6,12 +6,13 @@
 import pytest
 
 from hawthornbridge import peersnapshots
+from hawthornbridge.clocks import boot_time_s
 from hawthornbridge.listeners import Listener
-from hawthornbridge.mirror import Mirror
+from hawthornbridge.mirror import BATCH_DELAY_S, Mirror, Snapshot
 from hawthornbridge.peersnapshots import FollowedStore, PeerSnapshots, SnapshotApp
 from hawthornbridge.platform.store import MetadataStore
 from hawthornbridge.settings import LimitSettings
-from hawthornbridge.store import Found, Key
+from hawthornbridge.store import Found, Key, Revision
 from standins.platformstore import Outage, PlatformStore
 from tests.platformfakes import real_sockets
 
@@ -23,17 +24,19 @@
     """Run a mirror that follows the store or the nodes listed, and lets others follow it."""
 
     def __init__(self, store, port, readers):
+        self.suspended_s = 0.0
         self.address = f"127.0.0.1:{port}"
         self.seen = {}
         self.reads_store = not readers
         self.store = MetadataStore(store.address)
         peers = PeerSnapshots(lambda: list(readers), lambda: list(readers))
         followed = FollowedStore(self.store, peers, lambda: self.reads_store)
-        self.mirror = Mirror(
-            followed, Key(""), self._on_change, lambda key: True, anyio.current_time, peers.newer_than
-        )
+        self.mirror = Mirror(followed, Key(""), self._on_change, lambda key: True, self._boot_time_s, peers.newer_than)
         self._listener = Listener(SnapshotApp(self.mirror), self.address, LimitSettings())
 
+    def _boot_time_s(self):
+        return boot_time_s() + self.suspended_s
+
     def _on_change(self, key, value):
         if value is None:
             self.seen.pop(key, None)
@@ -111,6 +114,25 @@
         await until(lambda: "c" in follower.seen, 2.8)
 
 
+async def test_the_copy_of_a_host_that_was_suspended_is_not_followed(free_port, monkeypatch):
+    """Guards against a host that wakes from a suspension and passes its old copy on as a recent one."""
+    async with site(free_port) as (store, nodes, _):
+        (suspended, other) = nodes
+
+        async def hang(*_):
+            await anyio.sleep(3_600)
+
+        await anyio.sleep(2 * BATCH_DELAY_S)
+        monkeypatch.setattr(suspended.store, "_call", hang)
+        store.put("b", b"1")
+        await until(lambda: "b" in suspended.seen and "b" in other.seen)
+        store.remove("a")
+        suspended.suspended_s = 10.0
+        peers = PeerSnapshots(list, lambda: [suspended.address, other.address])
+        copy = await peers.join(Revision(0))
+        assert isinstance(copy, Snapshot) and [each.key for each in copy.values] == ["b"]
+
+
 async def test_without_hosts_to_follow_the_store_is_read(free_port):
     async with site(free_port) as (store, nodes, follower):
         for node in nodes:
@@ -226,3 +248,26 @@
         assert "ghost" in follower.seen
         nodes[0].scope.cancel()
         await until(lambda: follower.seen == {"a": b"1"}, 4.0)
+
+
+async def test_a_restarted_host_takes_the_newest_copy_it_can_get(free_port, monkeypatch):
+    """Guards against a removed server that is in use again, because a host that lost the store long ago was asked."""
+    async with site(free_port) as (store, (cut_off, recent), follower):
+        store.put("b", b"1")
+        await until(lambda: "b" in cut_off.seen and "b" in recent.seen and "b" in follower.seen)
+
+        async def hang(*_):
+            await anyio.sleep(3_600)
+
+        # Its next watch has to begin before the store is lost.
+        await anyio.sleep(2 * BATCH_DELAY_S)
+        monkeypatch.setattr(cut_off.store, "_call", hang)
+        # The watch in progress still reports this change; no later one reaches the host.
+        store.put("c", b"1")
+        await until(lambda: "c" in cut_off.seen and "c" in recent.seen)
+        store.remove("b")
+        await until(lambda: "b" not in recent.seen)
+        assert "b" in cut_off.seen
+        for _ in range(10):
+            copy = await PeerSnapshots(lambda: [cut_off.address, recent.address], list).newer_than(Revision(0))
+            assert copy is not None and "b" not in [each.key for each in copy.values]
