--- a/tests/test_peersnapshots.py
+++ b/tests/test_peersnapshots.py
@@ -127,6 +127,7 @@
         store.put("b", b"1")
         await until(lambda: "b" in suspended.seen and "b" in other.seen)
         store.remove("a")
+        await until(lambda: "a" not in other.seen)
         suspended.suspended_s = 10.0
         peers = PeerSnapshots(list, lambda: [suspended.address, other.address])
         copy = await peers.join(Revision(0))
