Render a request when it is sent, and send none after its deadline

Cause: the bytes of a request, with the time that is left, were made when the exchange began. A new connection takes up to 0.6 s, and a process that is paused meanwhile any time, after which the leaf was told the old time; a request whose deadline had passed was sent all the same, since the timer that abandons it had no turn before.

Ruled out: requests over idle connections; these are rendered and sent in one step.

Change: an exchange renders its request at the time of sending, and ends as not run if the deadline has passed by then; the new connection is kept for the next request.

--- a/hawthornbridge/hedgedrequests.py
+++ b/hawthornbridge/hedgedrequests.py
@@ -174,13 +174,14 @@
         suspect = leaf.is_suspect(now_s)
         exchange = Exchange(
             leaf,
-            forwarded.render(leaf, now_s, self._context.names),
+            lambda sent_s: forwarded.render(leaf, sent_s, self._context.names),
             forwarded.request_id,
             forwarded.route,
             self._on_done,
             now_s,
             self._window.quantile_s(MEDIAN_QUANTILE),
             idempotent=forwarded.idempotent,
+            deadline_s=forwarded.deadline_s,
         )
         self.exchanges.append(exchange)
         if forwarded.idempotent and self._attempts < forwarded.max_leaves:
--- a/hawthornbridge/leafclient.py
+++ b/hawthornbridge/leafclient.py
@@ -64,16 +64,20 @@
 
 @dataclass(eq=False)
 class Exchange:
-    """One request to one leaf; on_done is called once, unless the exchange has been abandoned before."""
+    """One request to one leaf; on_done is called once, unless the exchange has been abandoned before.
+
+    render returns the bytes of the request for the time at which they are sent.
+    """
 
     leaf: Leaf
-    request: bytes
+    render: Callable[[float], bytes]
     request_id: bytes
     route: RouteName
     on_done: Callable[["Exchange", Outcome], None]
     started_s: float
     median_latency_s: float
     idempotent: bool = True
+    deadline_s: float = inf
     sent: bool = False
     connection: HttpConnection | None = None
     abandoned: bool = field(default=False, init=False)
@@ -172,6 +176,12 @@
                 ),
             )
             return
+        if self._clock() >= exchange.deadline_s:
+            # The connection took long, or this process was paused meanwhile.
+            self._return_to_pool(leaf, connection)
+            detail = "the deadline passed before the request could be sent"
+            self._finish(exchange, UpstreamFailure(FailureKind.TIMEOUT, Execution.NOT_RUN, detail))
+            return
         self._send(exchange, connection)
 
     def _send(self, exchange: Exchange, connection: HttpConnection) -> None:
@@ -187,7 +197,7 @@
             self._observe(exchange, outcome)
             self._finish(exchange, outcome)
 
-        connection.send(exchange.request, on_done, exchange.request_id)
+        connection.send(exchange.render(exchange.sent_s), on_done, exchange.request_id)
 
     def _return_to_pool(self, leaf: Leaf, connection: HttpConnection) -> None:
         if leaf.usable:
