Keep a fleet from reading the store all at once, and prefer leaves of the own failure domain more

Change: a watch that is cut after it has waited for more than 0.2 s is repeated after 0.02 s; refusals and timeouts go on as before. Followers without a recent copy to follow wait for a random time, 3 ms for each host and 0.6 s at most, and ask once more before they turn to the store. And the cost of a leaf in another failure domain is 0.6 in place of 0.25 medians.

Tests: three new cases fail before (a cut watch; followers that wait, two cases).

--- a/hawthornbridge/leaves.py
+++ b/hawthornbridge/leaves.py
@@ -35,7 +35,7 @@
 FAILURE_COST = 10.0
 # Latency of a leaf that has just started, relative to its latency after warm-up.
 COLD_FACTOR = 1.6
-OTHER_DOMAIN_COST = 0.25
+OTHER_DOMAIN_COST = 0.6
 # Upper bound of the random cost that spreads the first requests of all hosts over equal leaves.
 RANDOM_COST = 0.1
 # All hosts together use less than half of a leaf's connection limit, because the connections of a host that loses
--- a/hawthornbridge/mirror.py
+++ b/hawthornbridge/mirror.py
@@ -18,6 +18,10 @@
 WATCH_TIMEOUT_S = 1.5
 # Changes mostly arrive in bursts; a short delay after each collects the rest in fewer calls.
 BATCH_DELAY_S = 0.12
+# A store may cut a watch that is waiting, which is repeated at once. A store that is out of service refuses a watch
+# sooner than this, or does not answer until the watch times out.
+MIN_CUT_WATCH_S = 0.2
+CUT_RETRY_DELAY_S = 0.02
 BASE_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
 # Hosts and leaves whose leases lapsed during an outage write their entries again within about 2 s of its end.
@@ -173,7 +177,11 @@
     async def _follow(self) -> None:
         """Apply changes until the store no longer has the history after the current revision."""
         while True:
-            match await self._store.watch_prefix(self._prefix, self._revision, self._watch_timeout_s()):
+            started_s, wait_s = self._clock(), self._watch_timeout_s()
+            match await self._store.watch_prefix(self._prefix, self._revision, wait_s):
+                case Unavailable(detail) if not self._is_down and MIN_CUT_WATCH_S < self._clock() - started_s < wait_s:
+                    self._record_loss(detail)
+                    await anyio.sleep(CUT_RETRY_DELAY_S)
                 case Unavailable(detail):
                     await self._back_off(detail)
                 case HistoryGone():
@@ -196,10 +204,13 @@
             return WATCH_TIMEOUT_S
         return min(WATCH_TIMEOUT_S, max(0.05, min(self._held.values()) - self._clock()))
 
-    async def _back_off(self, detail: str) -> None:
+    def _record_loss(self, detail: str) -> None:
         if not self._is_down:
             self._is_down = True
             emit(Event.STORE_LOST, detail=detail, revision=self._revision)
+
+    async def _back_off(self, detail: str) -> None:
+        self._record_loss(detail)
         await self._apply_fallback()
         if not self.is_synced:
             # The host serves nothing before the first read, so it retries without increasing the delay.
--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -44,6 +44,10 @@
 WAKE_MARGIN_S = 0.01
 # How long this host watches the store itself after it found no host with a recent copy.
 STORE_FALLBACK_S = 2.0
+# When no host has a recent copy, the others turn to the store one after the other, because these hosts mostly have one
+# again at once. The delay is random up to a time that grows with the number of hosts.
+FALLBACK_DELAY_PER_HOST_S = 0.003
+MAX_FALLBACK_DELAY_S = 0.6
 STATUS_NOTHING_NEWER = 204
 STATUS_NOT_FOUND = 404
 
@@ -151,6 +155,11 @@
         self._source: str | None = None
         self._cursor = 0
 
+    @property
+    def count(self) -> int:
+        """Return the number of other hosts."""
+        return len(self._peers())
+
     async def newer_than(self, revision: Revision) -> Snapshot | None:
         """Return the newest copy that a random few of the peers have, or None if none is newer than the revision.
 
@@ -241,13 +250,16 @@
         return not self._reads_store() and anyio.current_time() >= self._store_fallback_until_s
 
     async def _join(self, after: Revision) -> Snapshot | None:
-        match await self._peers.join(after):
-            case Snapshot() as snapshot:
-                self._follows_peer = True
-                return snapshot
-            case Unavailable():
-                self._store_fallback_until_s = anyio.current_time() + STORE_FALLBACK_S
-                return None
+        snapshot = await self._peers.join(after)
+        if isinstance(snapshot, Unavailable):
+            longest_s = min(MAX_FALLBACK_DELAY_S, self._peers.count * FALLBACK_DELAY_PER_HOST_S)
+            await anyio.sleep(random.uniform(0, longest_s))
+            snapshot = await self._peers.join(after)
+        if isinstance(snapshot, Snapshot):
+            self._follows_peer = True
+            return snapshot
+        self._store_fallback_until_s = anyio.current_time() + STORE_FALLBACK_S
+        return None
 
 
 def _without_removed(values: list[_Value], removed: list[tuple[Key, int]]) -> list[_Value]:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -82,6 +82,45 @@
     assert [(key, value) for _, key, value in seen[2:]] == [("b", b"2"), ("a", None)]
 
 
+async def test_a_watch_that_the_store_cuts_is_repeated_at_once():
+    """Guards against a copy that becomes too old to be followed, so that all hosts turn to the store together."""
+    asked = []
+
+    async def fallback(revision):
+        asked.append(revision)
+
+    times_s = []
+    first = found("a", b"1", 3)
+    store = ScriptedStore([snapshot(5, first), snapshot(9, first)], [(1.2, Unavailable("cut")), (0.0, HistoryGone())])
+    watch_prefix = store.watch_prefix
+
+    async def timed(*args):
+        times_s.append(anyio.current_time())
+        return await watch_prefix(*args)
+
+    store.watch_prefix = timed
+    mirror = Mirror(store, Key(""), lambda key, value: None, lambda key: True, anyio.current_time, fallback)
+    with anyio.move_on_after(3.0):
+        await mirror.run()
+    assert times_s[2] - times_s[0] < 1.3 and not asked
+
+
+@pytest.mark.parametrize("outcome_s", [0.1, 2.3])
+async def test_another_host_is_asked_when_the_store_fails_again_or_times_out(outcome_s):
+    """Guards against a lost store that is taken for a watch that was cut."""
+    asked_s = []
+
+    async def fallback(revision):
+        asked_s.append(anyio.current_time())
+
+    store = ScriptedStore([snapshot(5)], [(outcome_s, Unavailable("down"))] * 5)
+    mirror = Mirror(store, Key(""), lambda key, value: None, lambda key: True, anyio.current_time, fallback)
+    started_s = anyio.current_time()
+    with anyio.move_on_after(3.0):
+        await mirror.run()
+    assert asked_s[0] - started_s < max(0.3, outcome_s + 0.01)
+
+
 async def test_an_older_write_never_replaces_a_newer_one():
     """Guards against a change of the configuration that is undone by a page read before it."""
     seen, _ = await reports(
--- a/tests/test_peersnapshots.py
+++ b/tests/test_peersnapshots.py
@@ -8,11 +8,11 @@
 from hawthornbridge import peersnapshots
 from hawthornbridge.clocks import boot_time_s
 from hawthornbridge.listeners import Listener
-from hawthornbridge.mirror import BATCH_DELAY_S, Mirror, Snapshot
-from hawthornbridge.peersnapshots import FollowedStore, PeerSnapshots, SnapshotApp
+from hawthornbridge.mirror import BATCH_DELAY_S, Changes, Mirror, Snapshot
+from hawthornbridge.peersnapshots import MAX_FALLBACK_DELAY_S, FollowedStore, PeerSnapshots, SnapshotApp
 from hawthornbridge.platform.store import MetadataStore
 from hawthornbridge.settings import LimitSettings
-from hawthornbridge.store import Found, Key, Revision
+from hawthornbridge.store import Found, Key, Revision, Unavailable
 from standins.platformstore import Outage, PlatformStore
 from tests.platformfakes import real_sockets
 
@@ -272,3 +272,39 @@
         for _ in range(10):
             copy = await PeerSnapshots(lambda: [cut_off.address, recent.address], list).newer_than(Revision(0))
             assert copy is not None and "b" not in [each.key for each in copy.values]
+
+
+class LateReaders:
+    """Peers whose first copies are too old to be followed."""
+
+    def __init__(self, failures, count=195):
+        self.failures = failures
+        self.count = count
+
+    async def join(self, after):
+        self.failures -= 1
+        return Unavailable("too old") if self.failures >= 0 else Snapshot((), Revision(1))
+
+
+class CountedStore:
+    def __init__(self):
+        self.reads = 0
+
+    async def read_all(self, prefix):
+        self.reads += 1
+        return Snapshot((), Revision(1))
+
+    async def watch_prefix(self, prefix, after, wait_s):
+        self.reads += 1
+        return Changes((), after)
+
+
+@pytest.mark.parametrize(("failures", "reads"), [(1, 0), (10, 1)])
+async def test_followers_wait_for_the_hosts_that_watch_the_store_before_they_turn_to_it(failures, reads):
+    """Guards against a fleet that reads the store all at once whenever the hosts that watch it are late."""
+    store = CountedStore()
+    followed = FollowedStore(store, LateReaders(failures), lambda: False)
+    started_s = anyio.current_time()
+    await followed.watch_prefix(Key(""), Revision(1), 1.0)
+    assert store.reads == reads
+    assert anyio.current_time() - started_s < MAX_FALLBACK_DELAY_S + 0.2
