Let followers wait for the hosts that watch the store as long as a change may take

Ruled out: following older copies; a follower of a host that is cut from the store would follow a change too late.

Only hosts that have lost those they followed wait.

--- a/hawthornbridge/entryhost.py
+++ b/hawthornbridge/entryhost.py
@@ -133,7 +133,7 @@
         self.gateway.refuses_new_requests = lambda: self._draining
         self.directory = Directory(self.hosts, self.is_ready)
         peers = PeerSnapshots(self._peer_addresses, self._reader_addresses)
-        followed = FollowedStore(store, peers, self.hosts.reads_store)
+        followed = FollowedStore(store, peers, self.hosts.reads_store, bounds.change_s)
         self._mirror = Mirror(
             followed,
             ALL_KEYS,
--- a/hawthornbridge/entrysettings.py
+++ b/hawthornbridge/entrysettings.py
@@ -29,13 +29,15 @@
     """Limits set by the platform, which all hosts together stay within.
 
     A cold leaf gets at most its configured rate times cold_factor plus cold_slack requests per second. A planned stop
-    takes at most stop_s.
+    takes at most stop_s. A change in the store is followed within change_s, the shortest of the times that the
+    platform allows for changes of each kind.
     """
 
     cold_factor: float
     cold_slack: float
     stop_s: float
     max_address_validity_s: float
+    change_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -44,10 +44,11 @@
 WAKE_MARGIN_S = 0.01
 # How long this host watches the store itself after it found no host with a recent copy.
 STORE_FALLBACK_S = 2.0
-# When no host has a recent copy, the others turn to the store one after the other, because these hosts mostly have one
-# again at once. The delay is random up to a time that grows with the number of hosts.
-FALLBACK_DELAY_PER_HOST_S = 0.003
-MAX_FALLBACK_DELAY_S = 0.6
+# When no host has a recent copy, the others ask again for as long as their own copies may be old, because these hosts
+# mostly have recent copies soon, and the store would be read by the whole fleet at once.
+REJOIN_INTERVAL_S = 0.3
+# Time kept for reading the store, of the time in which a change has to be followed.
+STORE_READ_RESERVE_S = 1.0
 STATUS_NOTHING_NEWER = 204
 STATUS_NOT_FOUND = 404
 
@@ -155,11 +156,6 @@
         self._source: str | None = None
         self._cursor = 0
 
-    @property
-    def count(self) -> int:
-        """Return the number of other hosts."""
-        return len(self._peers())
-
     async def newer_than(self, revision: Revision) -> Snapshot | None:
         """Return the newest copy that a random few of the peers have, or None if none is newer than the revision.
 
@@ -212,9 +208,12 @@
 class FollowedStore:
     """Store access that reads the store itself or follows another host, depending on the host list."""
 
-    def __init__(self, store: WatchableStore, peers: PeerSnapshots, reads_store: Callable[[], bool]) -> None:
+    def __init__(
+        self, store: WatchableStore, peers: PeerSnapshots, reads_store: Callable[[], bool], change_s: float = 0.0
+    ) -> None:
         self._store = store
         self._peers = peers
+        self._max_wait_s = max(0.0, change_s - MAX_COPY_AGE_S - STORE_READ_RESERVE_S)
         self._reads_store = reads_store
         self._follows_peer = False
         self._store_fallback_until_s = -inf
@@ -251,9 +250,11 @@
 
     async def _join(self, after: Revision) -> Snapshot | None:
         snapshot = await self._peers.join(after)
-        if isinstance(snapshot, Unavailable):
-            longest_s = min(MAX_FALLBACK_DELAY_S, self._peers.count * FALLBACK_DELAY_PER_HOST_S)
-            await anyio.sleep(random.uniform(0, longest_s))
+        # Only a host that has lost those it followed waits; one that comes from the store goes on with the store.
+        wait_s = random.uniform(0.5, 1.0) * self._max_wait_s if self._follows_peer and after != ABSENT else 0.0
+        deadline_s = anyio.current_time() + wait_s
+        while isinstance(snapshot, Unavailable) and anyio.current_time() < deadline_s:
+            await anyio.sleep(random.uniform(0.5, 1.0) * REJOIN_INTERVAL_S)
             snapshot = await self._peers.join(after)
         if isinstance(snapshot, Snapshot):
             self._follows_peer = True
--- a/hawthornbridge/platform/settings.py
+++ b/hawthornbridge/platform/settings.py
@@ -33,6 +33,9 @@
     cold_slack: float = 0.0
     grace_s: float = 6.0
     ttl_max_s: float = 5.0
+    config_apply_ms: int = 3_000
+    drain_ms: int = 3_000
+    evacuate_ms: int = 5_000
 
 
 class _Limits(msgspec.Struct):
@@ -85,5 +88,6 @@
             cold_slack=bounds.cold_slack,
             stop_s=bounds.grace_s,
             max_address_validity_s=bounds.ttl_max_s,
+            change_s=min(bounds.config_apply_ms, bounds.drain_ms, bounds.evacuate_ms) / 1_000,
         ),
     )
