Send no copy that is too old to be followed

Change: a host answers that it has nothing to send while its copy is older than 2 s. Test: fails before.

--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -88,7 +88,8 @@
             case "/snapshot":
                 message = self._newer(query["after"])
             case "/joining":
-                message = self._copy(query["after"])
+                # A copy that is too old to be followed is not sent, because hosts ask again until there is a recent one.
+                message = self._copy(query["after"]) if self._mirror.age_s <= MAX_COPY_AGE_S else None
             case "/changes":
                 message = await self._changes(query["cursor"], query["wait_ms"] / 1_000)
             case _:
--- a/tests/test_peersnapshots.py
+++ b/tests/test_peersnapshots.py
@@ -132,6 +132,9 @@
         peers = PeerSnapshots(list, lambda: [suspended.address, other.address])
         copy = await peers.join(Revision(0))
         assert isinstance(copy, Snapshot) and [each.key for each in copy.values] == ["b"]
+        # The old copy is not sent at all, since it may be asked for often.
+        assert await peersnapshots._fetch(suspended.address, "/joining?after=0", 1.0) is None
+        assert await peersnapshots._fetch(other.address, "/joining?after=0", 1.0) is not None
 
 
 async def test_without_hosts_to_follow_the_store_is_read(free_port):
