--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -88,7 +88,7 @@
             case "/snapshot":
                 message = self._newer(query["after"])
             case "/joining":
-                # A copy that is too old to be followed is not sent, because hosts ask again until there is a recent one.
+                # Hosts ask again until there is a recent copy, so one that is too old to be followed is not sent.
                 message = self._copy(query["after"]) if self._mirror.age_s <= MAX_COPY_AGE_S else None
             case "/changes":
                 message = await self._changes(query["cursor"], query["wait_ms"] / 1_000)
