Alter the last byte of a message in a test whatever its value

The test of altered messages set the last byte to 0. With the new field at the end of the evidence that byte is 0 already, so nothing was altered. It now flips a bit of the byte, which alters it whatever it is.

--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -38,7 +38,7 @@
         b"x" * 16,
         Codec("peers-token-00002").encode(CUT),
         CODEC.encode(CUT)[:-1],
-        CODEC.encode(CUT)[:-1] + b"\x00",
+        CODEC.encode(CUT)[:-1] + bytes([CODEC.encode(CUT)[-1] ^ 1]),
         CODEC._digest(b"\x92\x63\x01") + b"\x92\x63\x01",
         CODEC._digest(b"\xc1") + b"\xc1",
         b"x" * (MESSAGE_LIMIT_BYTES + 1),
