Let a host that waits for a recent copy ask only the nearest host

Change: while it waits, a host asks only the nearest one; at first and at last also another. The new cases fail before.

--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -179,12 +179,12 @@
         emit(Event.PEER_SNAPSHOT_TAKEN, peer=newest, revision=copies[newest].revision, before=revision)
         return _snapshot(copies[newest])
 
-    async def join(self, after: Revision) -> Snapshot | Unavailable:
+    async def join(self, after: Revision, *, only_nearest: bool = False) -> Snapshot | Unavailable:
         """Read a copy from a host that watches the store, with the values after a revision, and follow that host."""
         # The nearest host comes first, so that copies do not cross failure domains without need.
         nearest, *others = self._readers() or [""]
         candidates = [nearest, *self._random.sample(others, len(others))] if nearest else []
-        for address in candidates[:MAX_PEERS_PER_ROUND]:
+        for address in candidates[: 1 if only_nearest else MAX_PEERS_PER_ROUND]:
             message = await _fetch(address, f"/joining?after={after}", REQUEST_TIMEOUT_S)
             if message is not None and message.age_s <= MAX_COPY_AGE_S:
                 self._source, self._cursor = address, message.cursor
@@ -256,7 +256,9 @@
         deadline_s = anyio.current_time() + wait_s
         while isinstance(snapshot, Unavailable) and anyio.current_time() < deadline_s:
             await anyio.sleep(random.uniform(0.5, 1.0) * REJOIN_INTERVAL_S)
-            snapshot = await self._peers.join(after)
+            # A host goes on following the one that it joins, and all changes would cross failure domains from then on.
+            is_last = anyio.current_time() >= deadline_s
+            snapshot = await self._peers.join(after, only_nearest=not is_last)
         if isinstance(snapshot, Snapshot):
             self._follows_peer = True
             return snapshot
--- a/tests/test_peersnapshots.py
+++ b/tests/test_peersnapshots.py
@@ -173,6 +173,15 @@
         assert follower.mirror._store._peers._source == nodes[0].address
 
 
+async def test_a_host_that_waits_asks_only_the_nearest_host(free_port):
+    """Guards against a host that follows one in another failure domain for good because that one was back first."""
+    async with site(free_port, readers=1) as (_, nodes, _):
+        lost = f"127.0.0.1:{free_port()}"
+        peers = PeerSnapshots(list, lambda: [lost, nodes[0].address])
+        assert isinstance(await peers.join(Revision(0), only_nearest=True), Unavailable)
+        assert isinstance(await peers.join(Revision(0)), Snapshot)
+
+
 async def test_a_host_that_begins_to_follow_another_gets_only_what_is_new_to_it(free_port, monkeypatch):
     """Guards against copies of everything that cross the network each time a host changes its source."""
     messages = []
@@ -282,8 +291,10 @@
 
     def __init__(self, failures):
         self.failures = failures
+        self.only_nearest = []
 
-    async def join(self, after):
+    async def join(self, after, *, only_nearest=False):
+        self.only_nearest.append(only_nearest)
         self.failures -= 1
         return Unavailable("too old") if self.failures >= 0 else Snapshot((), Revision(1))
 
@@ -314,9 +325,12 @@
     followed = FollowedStore(store, readers, lambda: False, change_s)
     await followed.read_all(Key(""))
     readers.failures = failures
+    readers.only_nearest.clear()
     started_s = anyio.current_time()
     if isinstance(await followed.watch_prefix(Key(""), Revision(1), 1.0), HistoryGone):
         await followed.read_all(Key(""))
     assert store.reads == reads
+    # Any host is asked at first and at last; in between only the one that it is best to follow.
+    assert all(readers.only_nearest[1:-1]) and not readers.only_nearest[0]
     # With the age of the copy that the host has by then, a change is followed in time.
     assert anyio.current_time() - started_s + MAX_COPY_AGE_S < change_s
