--- a/tests/test_peersnapshots.py
+++ b/tests/test_peersnapshots.py
@@ -74,6 +74,15 @@
             await anyio.sleep(0.01)
 
 
+def lose_store(node, monkeypatch):
+    """Let the next calls of a node to the store hang; a watch in progress still ends."""
+
+    async def hang(*_):
+        await anyio.sleep(3_600)
+
+    monkeypatch.setattr(node.store, "_call", hang)
+
+
 async def test_a_follower_sees_changes_without_calls_to_the_store(free_port):
     """Guards against calls to the store that grow with the fleet."""
     async with site(free_port) as (store, _, follower):
@@ -102,11 +111,7 @@
     async with site(free_port) as (store, nodes, follower):
         followed = follower.mirror._store._peers._source
         (node,) = [node for node in nodes if node.address == followed]
-
-        async def hang(*_):
-            await anyio.sleep(3_600)
-
-        monkeypatch.setattr(node.store, "_call", hang)
+        lose_store(node, monkeypatch)
         store.put("b", b"1")
         # Its present watch may still report this change; the next ones reach only the other host.
         await anyio.sleep(0.3)
@@ -118,12 +123,8 @@
     """Guards against a host that wakes from a suspension and passes its old copy on as a recent one."""
     async with site(free_port) as (store, nodes, _):
         (suspended, other) = nodes
-
-        async def hang(*_):
-            await anyio.sleep(3_600)
-
         await anyio.sleep(2 * BATCH_DELAY_S)
-        monkeypatch.setattr(suspended.store, "_call", hang)
+        lose_store(suspended, monkeypatch)
         store.put("b", b"1")
         await until(lambda: "b" in suspended.seen and "b" in other.seen)
         store.remove("a")
@@ -268,13 +269,9 @@
     async with site(free_port) as (store, (cut_off, recent), follower):
         store.put("b", b"1")
         await until(lambda: "b" in cut_off.seen and "b" in recent.seen and "b" in follower.seen)
-
-        async def hang(*_):
-            await anyio.sleep(3_600)
-
         # Its next watch has to begin before the store is lost.
         await anyio.sleep(2 * BATCH_DELAY_S)
-        monkeypatch.setattr(cut_off.store, "_call", hang)
+        lose_store(cut_off, monkeypatch)
         # The watch in progress still reports this change; no later one reaches the host.
         store.put("c", b"1")
         await until(lambda: "c" in cut_off.seen and "c" in recent.seen)
