--- a/measure/control.py
+++ b/measure/control.py
@@ -2,7 +2,6 @@
 
 import argparse
 import multiprocessing
-import socket
 import sys
 import time
 from multiprocessing.connection import Connection
@@ -18,6 +17,7 @@
 from hawthornbridge.peers import PynngLinks
 from hawthornbridge.store import Missing, ReadOutcome, WatchOutcome, WatchTimeout
 from standins.memorystore import MemoryStore
+from standins.ports import free_port
 
 SETTLING_S = 4.0
 IDLE_S = 20.0
@@ -48,16 +48,6 @@
         return WatchTimeout()
 
 
-def _free_addresses(count: int) -> list[str]:
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
-    for probe in probes:
-        probe.close()
-    return addresses
-
-
 def _control(number: int, addresses: list[str], store: MemoryStore) -> ControlPlane:
     identity = HostIdentity(
         HostId(f"entry-{number}"),
@@ -169,7 +159,7 @@
     parser.add_argument("--hosts", type=int, default=9)
     hosts: int = parser.parse_args().hosts
     context = multiprocessing.get_context("spawn")
-    addresses = _free_addresses(hosts)
+    addresses = [f"127.0.0.1:{free_port()}" for _ in range(hosts)]
     pipes, processes = [], []
     for number in range(hosts - 1):
         parent_end, child_end = context.Pipe()
--- a/measure/local.py
+++ b/measure/local.py
@@ -1,6 +1,5 @@
 """Small fleet in one process on loopback: stand-ins, daemons and an operator."""
 
-import socket
 from collections.abc import Sequence
 from typing import Any
 
@@ -19,6 +18,7 @@
 from hawthornbridge.operatorclient import OperatorClient, Outcome
 from hawthornbridge.settings import Settings, decode
 from standins.hostlist import HostList
+from standins.ports import free_port
 from standins.store import StoreServer
 
 __all__ = ["LocalFleet", "free_address", "post", "settings_tree"]
@@ -29,9 +29,7 @@
 
 def free_address() -> str:
     """Return a loopback address with a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"127.0.0.1:{free_port()}"
 
 
 def settings_tree(
--- a/measure/soakhosts.py
+++ b/measure/soakhosts.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -12,6 +11,7 @@
 from pathlib import Path
 
 from standins.faultproxy import FaultProxy
+from standins.ports import free_port
 
 __all__ = ["SoakHost", "prepare_host"]
 
@@ -97,16 +97,9 @@
     """Write the settings of a host that reaches the store through the proxy."""
     # Each run has its own loopback addresses, because all hosts use the same metrics port.
     ip = f"127.{os.getpid() % 200 + 10}.{os.getpid() // 200 % 250}.{number}"
-    ports = {name: _free_port(ip) for name in ("front", "ready", "directory", "control")}
+    ports = {name: free_port(ip) for name in ("front", "ready", "directory", "control")}
     seeds = ", ".join(f'"{host.ip}:{host.ports["control"]}"' for host in others)
     path = folder / f"n{number}.yaml"
     text = SETTINGS.format(number=number, ip=ip, seeds=seeds, store=proxy.address, retry_slack=RETRY_SLACK, **ports)
     path.write_text(text)
     return SoakHost(number, path, folder / f"n{number}.log", ip, ports, proxy, text)
-
-
-def _free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        port: int = probe.getsockname()[1]
-        return port
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,11 @@
 """Fixtures shared by the tests."""
 
-import socket
-
 import pytest
 import trio.testing
 from hypothesis import settings
 
+from standins import ports
+
 settings.register_profile("ci", derandomize=True, deadline=None, max_examples=60)
 settings.load_profile("ci")
 
@@ -19,10 +19,4 @@
 @pytest.fixture
 def free_port():
     """Return a function that finds a free loopback port."""
-
-    def find() -> int:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return probe.getsockname()[1]
-
-    return find
+    return ports.free_port
