--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -22,6 +22,6 @@
         monkeypatch.setattr(ports, "LAST_PORT", port)
         with pytest.raises(OSError, match="no free port"):
             ports.free_port()
-    first, _ = (int(part) for part in open("/proc/sys/net/ipv4/ip_local_port_range").read().split())
     monkeypatch.undo()
-    assert first > ports.LAST_PORT
+    first, _ = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()
+    assert int(first) > ports.LAST_PORT
