--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -1,4 +1,5 @@
 import socket
+from pathlib import Path
 
 import pytest
 
