--- a/review/harness.py
+++ b/review/harness.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 
 from standins.platformleaf import PlatformLeaf
-from standins.platformstore import PlatformStore
+from standins.platformstore import Outage, PlatformStore
 from standins.ports import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -59,6 +59,35 @@
 PROMISES = (408, 421, 429, 503)
 
 
+class SilentStore(PlatformStore):
+    """The project's stand-in for the store, which while down answers nothing at all and pauses the leases."""
+
+    def __init__(self):
+        super().__init__()
+        self._down_since_s = None
+
+    def go_down(self):
+        self.outage = Outage.SILENT
+        self._down_since_s = time.monotonic()
+
+    def come_back(self):
+        paused_s = time.monotonic() - self._down_since_s
+        for lease in self._leases.values():
+            lease.expires_s += paused_s
+        self.outage = None
+
+    def _expire(self):
+        if self.outage is None:
+            super()._expire()
+
+    async def _handle(self, call):
+        answer = await super()._handle(call)
+        if self.outage is Outage.SILENT:
+            # The call came before the outage; no answer leaves the store while it is down.
+            await asyncio.sleep(3_600)
+        return answer
+
+
 class Record:
     """Lines with the time since the start, written to record.txt in the folder of the case."""
 
@@ -213,7 +242,7 @@
 
     record: Record
     folder: Path
-    store: PlatformStore = field(default_factory=PlatformStore)
+    store: PlatformStore = field(default_factory=SilentStore)
     leaves: list = field(default_factory=list)
     daemons: list = field(default_factory=list)
     tasks: list = field(default_factory=list)
