Read values that are nested too deeply as unreadable records

Cause: msgspec raises RecursionError for nesting beyond the interpreter's limit, and decode() caught MsgspecError and UnicodeDecodeError only. The error left Mirror.run and ended the daemon's task group, after each restart as well. Ruled out: the other three foreign entries of the case (fields missing, other types, not UTF-8), which were reported.

Change: DECODE_ERRORS lists what decoders raise on foreign bytes; all decoders of bytes from outside use it (records and replies of the store, copies and messages of other hosts, host list, replies of leaves, both settings files).

--- a/hawthornbridge/claimbuckets.py
+++ b/hawthornbridge/claimbuckets.py
@@ -10,6 +10,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.events import Event, emit
 from hawthornbridge.ids import AttemptId, HostId, IdempotencyKey
 from hawthornbridge.store import (
@@ -412,7 +413,7 @@
             return True
         try:
             entries = _decoder.decode(current.value)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             emit(Event.CLAIM_BUCKET_UNREADABLE, bucket=self._name, detail=str(error))
             return False
         self._replace(current.revision, entries)
--- a/hawthornbridge/confighead.py
+++ b/hawthornbridge/confighead.py
@@ -6,6 +6,7 @@
 import anyio
 import msgspec
 
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.ids import Generation, OperationId
 from hawthornbridge.model import Catalogue, Entry
 from hawthornbridge.store import (
@@ -113,7 +114,7 @@
 
 
 def decode_state(data: bytes) -> ConfigurationState:
-    """Decode a configuration state; raise msgspec.MsgspecError if the data is invalid."""
+    """Decode a configuration state; raise one of DECODE_ERRORS if the data is invalid."""
     return _state_decoder.decode(data)
 
 
@@ -164,7 +165,7 @@
                     return outcome
         try:
             return decode_state(data)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return Unreadable(f"base {head.base}: {error}")
 
     async def compact(self, read: HeadRead, folded: ConfigurationState) -> bool:
@@ -214,6 +215,6 @@
         case Found():
             try:
                 head = _head_decoder.decode(outcome.value)
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 return Unreadable(f"head: {error}")
             return HeadRead(head, outcome.revision, asked_s, len(outcome.value))
--- a/hawthornbridge/configuration.py
+++ b/hawthornbridge/configuration.py
@@ -28,6 +28,7 @@
     encode_state,
     needs_compaction,
 )
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.events import Event, emit
 from hawthornbridge.freshness import (
     FRESH_S,
@@ -529,7 +530,7 @@
         self._base_transfer = None
         try:
             self._adopt_state(decode_state(b"".join(transfer.parts)), "peer")
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             emit(Event.CONFIGURATION_UNREADABLE, detail=str(error))
 
     # Freshness
--- a/hawthornbridge/hostlist.py
+++ b/hawthornbridge/hostlist.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from hawthornbridge.boundedbody import read_body
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.ids import HostId
 from hawthornbridge.membership import HostListOutcome, HostListUnavailable, ListedHost, ListState
 from hawthornbridge.registry import PluginKind, register
@@ -47,6 +48,6 @@
             return HostListUnavailable(f"host list returned HTTP status {status}")
         try:
             decoded = msgspec.json.decode(body, type=_HostsBody)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return HostListUnavailable(str(error))
         return [ListedHost(host.id, host.peer_address, host.caller_address, host.state) for host in decoded.hosts]
--- a/hawthornbridge/leafhttp.py
+++ b/hawthornbridge/leafhttp.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hawthornbridge.boundedbody import read_body
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.ids import Incarnation, MapId, RequestId, RouteName, ShardName, SnapshotNumber, VersionName
 from hawthornbridge.outcomes import Execution
 from hawthornbridge.registry import PluginKind, register
@@ -174,7 +175,7 @@
             return answer
         try:
             reply = _search_decoder.decode(answer)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return UpstreamFailure(FailureKind.BAD_REPLY, Execution.UNKNOWN, str(error))
         if reply.request_id != request.request_id:
             return _reply_to_other_request(reply.request_id)
@@ -205,7 +206,7 @@
             return answer
         try:
             reply = _result_decoder.decode(answer)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return UpstreamFailure(FailureKind.BAD_REPLY, Execution.UNKNOWN, str(error))
         if reply.request_id != request.request_id:
             return _reply_to_other_request(reply.request_id)
@@ -226,7 +227,7 @@
                 return UpstreamFailure(FailureKind.ERROR, Execution.NOT_RUN, kind.value)
         try:
             status = _status_decoder.decode(answer)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return UpstreamFailure(FailureKind.BAD_REPLY, Execution.NOT_RUN, str(error))
         return Status(
             healthy=status.healthy,
@@ -272,7 +273,7 @@
 def _refusal(status: int, content: bytes) -> UpstreamRefusal | UpstreamFailure:
     try:
         error = _error_decoder.decode(content).error
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return UpstreamFailure(FailureKind.ERROR, Execution.UNKNOWN, f"status {status}")
     return UpstreamRefusal(error.kind, error.execution)
 
--- a/hawthornbridge/messages.py
+++ b/hawthornbridge/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from hawthornbridge.allowance import AllowanceNotice
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.evidence import RolloutEvidence
 from hawthornbridge.ids import (
     DomainName,
@@ -195,7 +196,7 @@
             raise MessageRejectedError("message digest does not match")
         try:
             message: Message = self._decoder.decode(payload)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise MessageRejectedError(str(error)) from error
         return message
 
--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from hawthornbridge.callers import Receive, Scope, Send
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.events import Event, emit
 from hawthornbridge.gateway import send_answer
 from hawthornbridge.httpconnection import Reply, connect
@@ -298,6 +299,6 @@
 def _decode_message(body: bytes, address: str) -> _Message | None:
     try:
         return _decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         emit(Event.RECORD_UNREADABLE, key=f"copy of {address}", detail=str(error))
         return None
--- a/hawthornbridge/platform/decoding.py
+++ b/hawthornbridge/platform/decoding.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.evidence import RolloutEvidence
 from hawthornbridge.evidencewriter import EVIDENCE_PREFIX
 from hawthornbridge.ids import DomainName, HostId, RouteName, ServiceName, UpstreamId, VersionName
@@ -142,7 +143,7 @@
             return EvidenceRecord(_evidence_decoder.decode(value))
         if key == CONFIGURATION_KEY and value is not None:
             return _configuration(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         leaf_id = UpstreamId(key.removeprefix(LEAF_PREFIX)) if key.startswith(LEAF_PREFIX) else None
         return UnreadableRecord(key, leaf_id, str(error))
     return None
--- a/hawthornbridge/platform/settings.py
+++ b/hawthornbridge/platform/settings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.entrysettings import BoundSettings, EntryAddresses, EntrySettings
 from hawthornbridge.ids import DomainName, HostId
 from hawthornbridge.platform.apps import METRICS_PORT
@@ -64,7 +65,7 @@
     """Read the settings file; raise SettingsError with the name of the invalid key."""
     try:
         file = msgspec.yaml.decode(path.read_bytes(), type=_File, strict=False)
-    except (OSError, msgspec.MsgspecError) as error:
+    except (OSError, *DECODE_ERRORS) as error:
         raise SettingsError(f"{path}: {error}") from error
     bounds = file.bounds
     return EntrySettings(
--- a/hawthornbridge/platform/store.py
+++ b/hawthornbridge/platform/store.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.httpconnection import HttpConnection, Outcome, Reply, connect
 from hawthornbridge.mirror import Changes, HistoryGone, Removed, Snapshot
 from hawthornbridge.outcomes import Execution
@@ -237,7 +238,7 @@
         case Reply(status=200, body=body):
             try:
                 return msgspec.json.decode(body, type=kind)
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 return Unavailable(f"store response could not be decoded: {error}")
         case _:
             return Unavailable(f"status {outcome.status}")
@@ -246,7 +247,7 @@
 def _conflict(outcome: Reply, expected: Mapping[Key, Revision]) -> Conflict:
     try:
         items = msgspec.json.decode(outcome.body, type=_Conflicting).items
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         # The status alone shows that nothing was written.
         items = []
     current = {item.key: item for item in items if item.revision > 0 and not item.tombstone}
--- a/hawthornbridge/storehttp.py
+++ b/hawthornbridge/storehttp.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hawthornbridge.boundedbody import read_body
+from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.registry import PluginKind, register
 from hawthornbridge.store import (
     ABSENT,
@@ -229,7 +230,7 @@
             return Ambiguous(f"status {response.status}")
         try:
             return decoder.decode(answer)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return Ambiguous(str(error))
 
 
