--- a/hawthornbridge/platform/settings.py
+++ b/hawthornbridge/platform/settings.py
@@ -15,6 +15,7 @@
 __all__ = ["SETTINGS_VARIABLE", "load"]
 
 SETTINGS_VARIABLE = "HAWTHORNBRIDGE_SETTINGS"
+READ_ERRORS: tuple[type[Exception], ...] = (OSError, *DECODE_ERRORS)
 
 
 class _Listen(msgspec.Struct):
@@ -65,7 +66,7 @@
     """Read the settings file; raise SettingsError with the name of the invalid key."""
     try:
         file = msgspec.yaml.decode(path.read_bytes(), type=_File, strict=False)
-    except (OSError, *DECODE_ERRORS) as error:
+    except READ_ERRORS as error:
         raise SettingsError(f"{path}: {error}") from error
     bounds = file.bounds
     return EntrySettings(
--- a/hawthornbridge/settings.py
+++ b/hawthornbridge/settings.py
@@ -6,7 +6,6 @@
 import jsonc
 import msgspec
 
-from hawthornbridge.decodeerrors import DECODE_ERRORS
 from hawthornbridge.ids import DomainName, HostId, Seat
 
 __all__ = ["Settings", "SettingsError", "load"]
@@ -102,7 +101,7 @@
     """Read and check a settings file; raise SettingsError naming the key's path and what is allowed."""
     try:
         tree = jsonc.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError, *DECODE_ERRORS) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(f"{path}: {error}") from error
     return decode(tree)
 
