Send a request again only over a connection that has not carried it

Cause: after a refusal, HedgedRequest sends the same attempt to the same leaf again if it is the only one, and LeafClient took the newest idle connection, the one of the refusal. A late second copy of the refusal bears the id of the retry, so HttpConnection can't tell it from the reply that is due. Ruled out: copies for other requests on that connection, which are dropped by their id; copies on an idle connection, which close it.

Change: an Exchange lists the connections that carried its request id, and none of them is chosen; if no other one is idle, one of them is closed for the new one, so that the leaf's limit holds. The same cause in the project's own upstream protocol, whose refusals bear no id at all: a connection on which a refusal came is replaced before an execution. Closing each connection after a refusal was weighed: it costs a busy leaf a new connection for every refusal.

--- a/hawthornbridge/hedgedrequests.py
+++ b/hawthornbridge/hedgedrequests.py
@@ -182,6 +182,7 @@
             self._window.quantile_s(MEDIAN_QUANTILE),
             idempotent=forwarded.idempotent,
             deadline_s=forwarded.deadline_s,
+            used_connections=[each.connection for each in self.exchanges if each.connection is not None],
         )
         self.exchanges.append(exchange)
         if forwarded.idempotent and self._attempts < forwarded.max_leaves:
--- a/hawthornbridge/leafclient.py
+++ b/hawthornbridge/leafclient.py
@@ -1,6 +1,6 @@
 """HTTP client for leaves, with persistent connections."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum
 from math import inf
@@ -78,6 +78,9 @@
     median_latency_s: float
     idempotent: bool = True
     deadline_s: float = inf
+    # Connections that have carried this request id. A late copy of an earlier reply to the same id cannot be told from
+    # the reply to this exchange, so none of them is used again for it.
+    used_connections: Collection[HttpConnection] = ()
     sent: bool = False
     connection: HttpConnection | None = None
     abandoned: bool = field(default=False, init=False)
@@ -112,7 +115,7 @@
         """Send a request over an idle connection, or over a new one."""
         leaf = exchange.leaf
         leaf.in_flight[exchange] = InFlightRequest(exchange.started_s, exchange.median_latency_s)
-        connection = self._take_idle(leaf, exchange.idempotent)
+        connection = self._take_idle(leaf, exchange)
         if connection is not None:
             self._send(exchange, connection)
             return
@@ -132,18 +135,22 @@
         if not exchange.is_over and exchange.connection is not None:
             exchange.connection.close()
 
-    def _take_idle(self, leaf: Leaf, idempotent: bool) -> HttpConnection | None:
+    def _take_idle(self, leaf: Leaf, exchange: Exchange) -> HttpConnection | None:
         now_s = self._clock()
-        while leaf.idle:
-            connection = leaf.idle[-1]
+        for connection in reversed(tuple(leaf.idle)):
             if not connection.is_usable(now_s):
-                leaf.idle.pop()
+                leaf.idle.remove(connection)
                 connection.close()
                 continue
-            if not idempotent and now_s - connection.idle_since_s > NON_IDEMPOTENT_MAX_IDLE_S:
+            if connection in exchange.used_connections:
+                continue
+            if not exchange.idempotent and now_s - connection.idle_since_s > NON_IDEMPOTENT_MAX_IDLE_S:
                 return None
-            leaf.idle.pop()
+            leaf.idle.remove(connection)
             return connection
+        if leaf.idle:
+            # The new connection takes the place of one, so that the leaf's limit on connections holds.
+            leaf.idle.pop().close()
         return None
 
     async def _connect_and_send(self, exchange: Exchange) -> None:
--- a/hawthornbridge/leafhttp.py
+++ b/hawthornbridge/leafhttp.py
@@ -147,6 +147,8 @@
 
     def __init__(self, connection: httpcore.AsyncHTTP11Connection, origin: httpcore.URL) -> None:
         self._connection = connection
+        self._origin = origin
+        self._has_refused = False
         host = origin.host + b":" + str(origin.port).encode()
         self._host = (b"host", host)
         self._urls = {
@@ -192,6 +194,10 @@
 
     async def execute(self, request: Execute) -> ExecuteOutcome:
         """Run a non-idempotent request."""
+        if self._has_refused:
+            failure = await self._reconnect()
+            if failure is not None:
+                return failure
         body = {
             "request_id": request.request_id,
             "attempt_id": request.attempt_id,
@@ -258,8 +264,29 @@
             return UpstreamFailure(FailureKind.RESET, Execution.UNKNOWN, str(error) or type(error).__name__)
         if response.status == 200:
             return content
+        self._has_refused = True
         return _refusal(response.status, content)
 
+    async def _reconnect(self) -> UpstreamFailure | None:
+        """Replace the connection.
+
+        A refusal bears no request id, so a late copy of one would be taken for the answer to an execution, which would
+        then run here and at another upstream.
+        """
+        await self._connection.aclose()
+        try:
+            self._connection = await _open(self._origin)
+        except OSError as error:
+            return UpstreamFailure(FailureKind.CONNECT, Execution.NOT_RUN, str(error))
+        self._has_refused = False
+        return None
+
+
+async def _open(origin: httpcore.URL) -> httpcore.AsyncHTTP11Connection:
+    """Open a connection; raise OSError if the upstream does not accept it."""
+    stream = await anyio.connect_tcp(origin.host.decode(), origin.port or 0)
+    return httpcore.AsyncHTTP11Connection(origin.origin, _Stream(stream))
+
 
 def _left_ms(deadline_s: float) -> int:
     return max(0, int((deadline_s - anyio.current_time()) * 1_000))
@@ -286,13 +313,11 @@
         """Open a connection and verify with a status call that the upstream answers."""
         host, _, port = address.partition(":")
         with anyio.move_on_after(timeout_s):
+            url = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=b"/")
             try:
-                stream = await anyio.connect_tcp(host, int(port))
+                channel = HttpChannel(await _open(url), url)
             except OSError as error:
                 return UpstreamFailure(FailureKind.CONNECT, Execution.NOT_RUN, str(error))
-            origin = httpcore.Origin(b"http", host.encode(), int(port))
-            url = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=b"/")
-            channel = HttpChannel(httpcore.AsyncHTTP11Connection(origin, _Stream(stream)), url)
             outcome: StatusOutcome | None = None
             try:
                 outcome = await channel.status()
--- a/tests/test_leafclient.py
+++ b/tests/test_leafclient.py
@@ -7,7 +7,8 @@
 from hawthornbridge.httpconnection import connect
 from hawthornbridge.outcomes import Execution
 from standins.platformleaf import PlatformLeaf
-from tests.platformfakes import Caller, forward_route, gateway_over, real_sockets
+from tests.laterefusals import LateRefusalServer, response
+from tests.platformfakes import Caller, entry, forward_route, gateway_over, real_sockets
 
 pytestmark = pytest.mark.anyio
 anyio_backend = real_sockets()
@@ -73,3 +74,45 @@
                 await anyio.sleep(0.01)
         assert outcomes[0].execution is Execution.NOT_RUN
         assert len(exchange.leaf.idle) == 1
+
+
+def late_refusal_leaf():
+    """Return a leaf whose late copy of a refusal bears the id of the request that it refused."""
+
+    def echo(head):
+        (line,) = [line for line in head.split(b"\r\n") if line.lower().startswith(b"hawthornbridge-attempt-id")]
+        return (b"hawthornbridge-attempt-id", line.partition(b":")[2].strip())
+
+    return LateRefusalServer(
+        lambda head, body: response(503, headers=[echo(head), (b"hawthornbridge-not-executed", b"1")]),
+        lambda head, body: response(200, b"done", [echo(head), (b"hawthornbridge-server-stamp", b"l1.1")]),
+    )
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+async def test_a_late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_retry(idempotent):
+    """Guards against an order that runs twice, or that is answered 503 and runs, after a late copy of a refusal."""
+    async with (
+        late_refusal_leaf() as server,
+        gateway_over([], forward_route(idempotent=idempotent)) as (gateway, table),
+    ):
+        table.put(entry("l1", address=server.address))
+        status, _, body = await Caller(gateway).ask("/one/a", method="POST", body=b"order")
+        assert (status, body) == (200, b"done")
+        await anyio.sleep(0.1)
+        assert server.runs == 1
+        # The new connection replaced the one on which the copy may come, because of the leaf's limit on connections.
+        assert server.open == 1 and table._leaves["l1"].connections == 1
+
+
+async def test_a_connection_that_refused_one_request_is_used_again_for_others():
+    """Guards against a new connection for each request that a busy leaf refuses."""
+    leaf = PlatformLeaf("l1", "s")
+    async with gateway_over([leaf], forward_route(idempotent=False)) as (gateway, _):
+        leaf.faults.full = True
+        assert (await Caller(gateway).ask("/one/a", request_id="r0", deadline_ms=100))[0] == 503
+        leaf.faults.full = False
+        opened = gateway._context.client.opened
+        for number in range(1, 4):
+            assert (await Caller(gateway).ask("/one/a", request_id=f"r{number}"))[0] == 200
+        assert gateway._context.client.opened == opened
--- a/tests/test_leafhttp.py
+++ b/tests/test_leafhttp.py
@@ -1,4 +1,5 @@
 import fcntl
+import json
 import socket
 import time
 import tracemalloc
@@ -26,6 +27,7 @@
 from standins.leaf import Leaf
 from standins.platformleaf import ENDLESS_REPLIES
 from standins.server import Answer, End, Raw, Server
+from tests.laterefusals import LateRefusalServer, response
 
 pytestmark = pytest.mark.anyio
 
@@ -259,3 +261,24 @@
         assert stream.get_extra_info("is_readable") is False
         far.close()
         assert stream.get_extra_info("is_readable") is True
+
+
+async def test_a_late_copy_of_a_refusal_is_not_taken_for_the_answer_to_an_execution():
+    """Guards against an order that is reported as not run and runs, since a refusal bears no request id."""
+    error = json.dumps({"error": {"kind": "shed", "execution": "not_run"}}).encode()
+    status = {"healthy": True, "draining": False, "in_flight": 0, "slots": 2, "incarnation": 1, "version": "v1"}
+    status_reply = response(200, json.dumps(status | {"snapshots": []}).encode())
+
+    def result(head, body):
+        request_id = json.loads(body)["request_id"]
+        return response(200, json.dumps({"request_id": request_id, "result": 1, "incarnation": 1}).encode())
+
+    async with LateRefusalServer(
+        lambda head, body: response(503, error),
+        result,
+        lambda head: status_reply if b"/v1/status" in head else None,
+    ) as server:
+        async with Connected(server) as group:
+            assert refusal(UpstreamRefusalKind.SHED)(await group.execute(execute("q1")))
+            outcomes = [await group.execute(execute(f"q{number}")) for number in range(2, 6)]
+        assert server.runs == 4 and all(isinstance(outcome, Result) for outcome in outcomes)
