Name the incarnation to which a follower's cursor belongs

Cause: a cursor counts the changes that a process has reported since its start. A restarted process counts from 0 again and passes the old number with its first read, so the follower skipped what that read had taken in and adopted the revision all the same. A frozen follower holds no connection on which it would notice the restart. Ruled out: the copy of another host (it lists what it has by revision and needs no cursor); the store's watch.

Change: copies and changes carry the incarnation of their sender; changes after a cursor are only sent for the incarnation that the cursor belongs to, else the follower takes a copy with all values after its own revision.

Before: two new tests fail, the script exits with 1.

--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -50,6 +50,7 @@
 REJOIN_INTERVAL_S = 0.3
 # Time kept for reading the store, of the time in which a change has to be followed.
 STORE_READ_RESERVE_S = 1.0
+INCARNATION_BITS = 53
 STATUS_NOTHING_NEWER = 204
 STATUS_NOT_FOUND = 404
 
@@ -71,6 +72,8 @@
     removed: list[tuple[Key, int]] = []
     # Keys that have not changed after the requested revision, so the requesting host has their values.
     unchanged: list[Key] = []
+    # The start of the sender's process; a cursor counts changes since then and says nothing to another incarnation.
+    incarnation: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(_Message)
@@ -81,6 +84,7 @@
 
     def __init__(self, mirror: Mirror) -> None:
         self._mirror = mirror
+        self._incarnation = random.getrandbits(INCARNATION_BITS)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Send the copy if it is newer than a revision, or wait for the next changes."""
@@ -92,7 +96,8 @@
                 # Hosts ask again until there is a recent copy, so one that is too old to be followed is not sent.
                 message = self._copy(query["after"]) if self._mirror.age_s <= MAX_COPY_AGE_S else None
             case "/changes":
-                message = await self._changes(query["cursor"], query["wait_ms"] / 1_000)
+                is_known = query.get("incarnation") == self._incarnation
+                message = await self._changes(query["cursor"], query["wait_ms"] / 1_000) if is_known else None
             case _:
                 await send_answer(send, STATUS_NOT_FOUND, [], b"")
                 return
@@ -117,7 +122,14 @@
                 values.append(_Value(each.key, each.value, each.revision, held.get(each.key)))
             else:
                 unchanged.append(each.key)
-        return _Message(snapshot.revision, self._mirror.cursor, snapshot.age_s, values, unchanged=unchanged)
+        return _Message(
+            snapshot.revision,
+            self._mirror.cursor,
+            snapshot.age_s,
+            values,
+            unchanged=unchanged,
+            incarnation=self._incarnation,
+        )
 
     async def _changes(self, cursor: int, wait_s: float) -> _Message | None:
         """Return the changes after a cursor; wait for them at most until this copy is too old to be followed."""
@@ -140,6 +152,7 @@
                     age_s,
                     _without_removed(values, removed),
                     _without_rewritten(removed, values),
+                    incarnation=self._incarnation,
                 )
 
 
@@ -157,6 +170,7 @@
         self._random = rng or random.Random()
         self._source: str | None = None
         self._cursor = 0
+        self._incarnation = 0
 
     async def newer_than(self, revision: Revision) -> Snapshot | None:
         """Return the newest copy that a random few of the peers have, or None if none is newer than the revision.
@@ -189,6 +203,7 @@
             message = await _fetch(address, f"/joining?after={after}", REQUEST_TIMEOUT_S)
             if message is not None and message.age_s <= MAX_COPY_AGE_S:
                 self._source, self._cursor = address, message.cursor
+                self._incarnation = message.incarnation
                 return _snapshot(message)
         self._source = None
         return Unavailable("no host that watches the store has a recent copy")
@@ -197,7 +212,8 @@
         """Wait for the next changes of the host that this one follows."""
         if self._source is None or self._source not in self._readers():
             return HistoryGone()
-        target = f"/changes?cursor={self._cursor}&wait_ms={int(wait_s * 1_000)}"
+        wait_ms = int(wait_s * 1_000)
+        target = f"/changes?cursor={self._cursor}&incarnation={self._incarnation}&wait_ms={wait_ms}"
         message = await _fetch(self._source, target, wait_s + REQUEST_TIMEOUT_S)
         if message is None or message.age_s > MAX_COPY_AGE_S:
             return HistoryGone()
--- a/tests/test_peersnapshots.py
+++ b/tests/test_peersnapshots.py
@@ -25,11 +25,12 @@
 
     def __init__(self, store, port, readers):
         self.suspended_s = 0.0
+        self.stopped = anyio.Event()
         self.address = f"127.0.0.1:{port}"
         self.seen = {}
         self.reads_store = not readers
         self.store = MetadataStore(store.address)
-        peers = PeerSnapshots(lambda: list(readers), lambda: list(readers))
+        self.peers = peers = PeerSnapshots(lambda: list(readers), lambda: list(readers))
         followed = FollowedStore(self.store, peers, lambda: self.reads_store)
         self.mirror = Mirror(followed, Key(""), self._on_change, lambda key: True, self._boot_time_s, peers.newer_than)
         self._listener = Listener(SnapshotApp(self.mirror), self.address, LimitSettings())
@@ -50,6 +51,14 @@
                 tasks.start_soon(self.mirror.run)
                 task_status.started()
         self._listener.abort()
+        self.stopped.set()
+
+    async def stop(self):
+        """Close the listening socket before its server is cancelled, so that a successor can have the address."""
+        for server in self._listener._server.servers:
+            server.close()
+        self.scope.cancel()
+        await self.stopped.wait()
 
 
 @contextlib.asynccontextmanager
@@ -119,6 +128,41 @@
         await until(lambda: "c" in follower.seen, 2.8)
 
 
+@pytest.mark.parametrize("missed", ["written", "removed"])
+async def test_a_follower_misses_no_change_when_the_host_it_follows_has_restarted(free_port, monkeypatch, missed):
+    """Guards against an old configuration or a leaf that has left, in use for good at a host that was paused.
+
+    The number of changes that the restarted host has reported soon passes the number that its follower knows.
+    """
+    async with site(free_port, readers=1) as (store, (node,), follower), anyio.create_task_group() as tasks:
+        is_paused, resumed = anyio.Event(), anyio.Event()
+        watch_prefix = follower.peers.watch_prefix
+
+        async def paused(*args):
+            is_paused.set()
+            await resumed.wait()
+            return await watch_prefix(*args)
+
+        monkeypatch.setattr(follower.peers, "watch_prefix", paused)
+        store.put("b", b"1")
+        await is_paused.wait()
+        await node.stop()
+        if missed == "written":
+            store.put("a", b"2")
+        else:
+            store.remove("a")
+        store.put("c", b"1")
+        store.put("d", b"1")
+        wanted = {"a": b"2"} if missed == "written" else {}
+        wanted |= {"b": b"1", "c": b"1", "d": b"1"}
+        restarted = Node(store, int(node.address.partition(":")[2]), [])
+        await tasks.start(restarted.run)
+        await until(lambda: restarted.seen == wanted)
+        resumed.set()
+        await until(lambda: follower.seen == wanted, 1.5)
+        tasks.cancel_scope.cancel()
+
+
 async def test_the_copy_of_a_host_that_was_suspended_is_not_followed(free_port, monkeypatch):
     """Guards against a host that wakes from a suspension and passes its old copy on as a recent one."""
     async with site(free_port) as (store, nodes, _):
