Bound how long a removal is held after an outage of the store

Cause: removals are held for 2.1 s from when a host notices the store's return, and it noticed up to 3.1 s late (a watch of 1.5 s, its margin of 0.8 s, a backoff of up to 0.8 s). Followers added a grace period of their own to that of the host they follow. Ruled out: the lease itself, which ended 2 to 3 s after the return in the case's record.

Change: watches of 0.1 s while the store is lost; no removal is held for more than 3.5 s after the start of the last call that failed; removals that come from another host are not held again, and a copy says for how long the keys that it lacks may still be written; a watch that is only cut begins no grace period.

--- a/hawthornbridge/mirror.py
+++ b/hawthornbridge/mirror.py
@@ -24,8 +24,13 @@
 CUT_RETRY_DELAY_S = 0.02
 BASE_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
+# A short wait shows soon that a lost store has returned, because a call that it never answers times out sooner.
+LOST_WATCH_WAIT_S = 0.1
 # Hosts and leaves whose leases lapsed during an outage write their entries again within about 2 s of its end.
 LAPSE_GRACE_S = 2.1
+# The store may have returned right after the last call that it did not answer was sent. Removals have to be in force
+# 4 s after its return, and a host that follows this one learns of them a little later.
+MAX_HOLD_S = 3.5
 # A host that follows this one and has missed more changes has to read all keys again.
 CHANGE_LOG_LIMIT = 2_000
 
@@ -42,7 +47,8 @@
 class Snapshot:
     """All keys below a prefix; its pages may have been read at different revisions, none older than revision.
 
-    A snapshot from another host is age_s old; unchanged lists keys without values that the reader already has.
+    A snapshot from another host is age_s old; unchanged lists keys without values that the reader already has. Keys
+    that it lacks may still be written again, after a lapse of their leases, for at most grace_s.
     """
 
     values: tuple[Found, ...]
@@ -50,6 +56,7 @@
     held: tuple[HeldKey, ...] = ()
     age_s: float = 0.0
     unchanged: tuple[Key, ...] = ()
+    grace_s: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,12 +71,14 @@
 class Changes:
     """Changes after a revision, in order; empty if the watch ended without a change.
 
-    Changes from another host reflect the store as that host read it age_s ago.
+    Changes from another host reflect the store as that host read it age_s ago. That host has already waited for keys
+    whose leases may only have lapsed, so that their grace_s is 0.
     """
 
     events: tuple[Found | Removed, ...]
     revision: Revision
     age_s: float = 0.0
+    grace_s: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,8 +128,14 @@
         self._reports_rewrites = reports_rewrites
         self._values: dict[Key, Found] = {}
         self._revision = Revision(0)
-        self._regained_s = -inf
         self._is_down = False
+        self._was_cut = False
+        # Start of the last call that failed, until which the store may have been away.
+        self._lost_call_s = -inf
+        # Removals are held until this time, since the key's lease may only have lapsed in an outage.
+        self._hold_until_s = -inf
+        # Until this time, keys that were missing at the first read may still be written again.
+        self._first_grace_until_s = -inf
         self._held: dict[Key, float] = {}
         # Every change as it was reported, for hosts that follow this one.
         self._log: deque[Found | Removed] = deque(maxlen=CHANGE_LOG_LIMIT)
@@ -134,7 +149,8 @@
             return None
         now_s = self._clock()
         held = tuple(HeldKey(key, due_s - now_s) for key, due_s in self._held.items())
-        return Snapshot(tuple(self._values.values()), self._revision, held, self.age_s)
+        grace_s = max(0.0, self._hold_until_s - now_s, self._first_grace_until_s - now_s)
+        return Snapshot(tuple(self._values.values()), self._revision, held, self.age_s, grace_s=grace_s)
 
     def revision_of(self, key: Key) -> Revision:
         """Return the revision of a key, or ABSENT."""
@@ -166,9 +182,10 @@
     async def run(self) -> None:
         """Read and watch until cancelled."""
         while True:
+            started_s = self._clock()
             match await self._store.read_all(self._prefix):
                 case Unavailable(detail):
-                    await self._back_off(detail)
+                    await self._back_off(detail, started_s)
                 case Snapshot() as snapshot:
                     self._record_contact(snapshot.age_s)
                     self._reconcile(snapshot)
@@ -179,38 +196,44 @@
         while True:
             started_s, wait_s = self._clock(), self._watch_timeout_s()
             match await self._store.watch_prefix(self._prefix, self._revision, wait_s):
-                case Unavailable(detail) if not self._is_down and MIN_CUT_WATCH_S < self._clock() - started_s < wait_s:
-                    self._record_loss(detail)
+                case Unavailable() if self._is_cut(self._clock() - started_s, wait_s):
+                    self._was_cut = True
                     await anyio.sleep(CUT_RETRY_DELAY_S)
                 case Unavailable(detail):
-                    await self._back_off(detail)
+                    await self._back_off(detail, started_s)
                 case HistoryGone():
                     emit(Event.STORE_HISTORY_GONE, revision=self._revision)
                     return
                 case Snapshot() as snapshot:
                     self._record_contact(snapshot.age_s)
                     self._reconcile(snapshot)
-                case Changes(events, revision, age_s):
+                case Changes(events, revision, age_s, grace_s):
                     self._record_contact(age_s)
                     for event in events:
-                        self._apply(event)
+                        self._apply(event, grace_s)
                     self._revision = max(self._revision, revision)
                     self._end_held()
                     if events:
                         await anyio.sleep(BATCH_DELAY_S)
 
+    def _is_cut(self, lasted_s: float, wait_s: float) -> bool:
+        return not self._is_down and not self._was_cut and MIN_CUT_WATCH_S < lasted_s < wait_s
+
     def _watch_timeout_s(self) -> float:
+        if self._is_down:
+            return LOST_WATCH_WAIT_S
         if not self._held:
             return WATCH_TIMEOUT_S
         return min(WATCH_TIMEOUT_S, max(0.05, min(self._held.values()) - self._clock()))
 
-    def _record_loss(self, detail: str) -> None:
+    def _record_loss(self, detail: str, call_s: float) -> None:
+        self._lost_call_s = call_s
         if not self._is_down:
             self._is_down = True
             emit(Event.STORE_LOST, detail=detail, revision=self._revision)
 
-    async def _back_off(self, detail: str) -> None:
-        self._record_loss(detail)
+    async def _back_off(self, detail: str, call_s: float) -> None:
+        self._record_loss(detail, call_s)
         await self._apply_fallback()
         if not self.is_synced:
             # The host serves nothing before the first read, so it retries without increasing the delay.
@@ -237,9 +260,12 @@
     def _record_contact(self, age_s: float) -> None:
         now_s = self._clock()
         self._backoff_s = BASE_BACKOFF_S
+        self._was_cut = False
+        if not self.is_synced:
+            self._first_grace_until_s = now_s + LAPSE_GRACE_S
         if self._is_down:
             self._is_down = False
-            self._regained_s = now_s
+            self._hold_until_s = min(now_s + LAPSE_GRACE_S, self._lost_call_s + MAX_HOLD_S)
             emit(Event.STORE_REGAINED, silent_s=round(now_s - self.read_s, 3), revision=self._revision)
         self.read_s = max(self.read_s, now_s - age_s)
 
@@ -249,12 +275,12 @@
             self._apply(found)
         for key in self._values.keys() - present:
             if self._values[key].revision <= snapshot.revision:
-                self._apply(Removed(key, snapshot.revision))
+                self._apply(Removed(key, snapshot.revision), snapshot.grace_s)
         self._revision = max(self._revision, snapshot.revision)
         self.is_synced = True
         self._end_held()
 
-    def _apply(self, event: Found | Removed) -> None:
+    def _apply(self, event: Found | Removed, grace_s: float = inf) -> None:
         known = self._values.get(event.key)
         match event:
             case Found(key, value, revision):
@@ -270,8 +296,10 @@
             case Removed(key, revision):
                 if known is None or known.revision > revision or key in self._held:
                     return
-                if self._clock() < self._regained_s + LAPSE_GRACE_S and self._may_lapse(key):
-                    self._held[key] = self._regained_s + LAPSE_GRACE_S
+                now_s = self._clock()
+                hold_until_s = min(self._hold_until_s, now_s + grace_s)
+                if now_s < hold_until_s and self._may_lapse(key):
+                    self._held[key] = hold_until_s
                     return
                 del self._values[key]
                 self._report(event)
--- a/hawthornbridge/peersnapshots.py
+++ b/hawthornbridge/peersnapshots.py
@@ -74,6 +74,8 @@
     unchanged: list[Key] = []
     # The start of the sender's process; a cursor counts changes since then and says nothing to another incarnation.
     incarnation: int = 0
+    # Time for which keys that the copy lacks may still be written again, after a lapse of their leases in an outage.
+    grace_s: float = 0.0
 
 
 _decoder = msgspec.msgpack.Decoder(_Message)
@@ -129,6 +131,7 @@
             values,
             unchanged=unchanged,
             incarnation=self._incarnation,
+            grace_s=snapshot.grace_s,
         )
 
     async def _changes(self, cursor: int, wait_s: float) -> _Message | None:
@@ -220,7 +223,7 @@
         self._cursor = message.cursor
         found = (Found(Key(each.key), each.value, Revision(each.revision)) for each in message.values)
         removed = (Removed(Key(key), Revision(message.revision)) for key, _ in message.removed)
-        return Changes((*found, *removed), Revision(message.revision), message.age_s)
+        return Changes((*found, *removed), Revision(message.revision), message.age_s, grace_s=0.0)
 
 
 class FollowedStore:
@@ -298,7 +301,8 @@
 def _snapshot(message: _Message) -> Snapshot:
     values = tuple(Found(Key(each.key), each.value, Revision(each.revision)) for each in message.values)
     held = tuple(HeldKey(Key(each.key), each.held_s) for each in message.values if each.held_s is not None)
-    return Snapshot(values, Revision(message.revision), held, message.age_s, tuple(message.unchanged))
+    unchanged = tuple(message.unchanged)
+    return Snapshot(values, Revision(message.revision), held, message.age_s, unchanged, message.grace_s)
 
 
 async def _fetch(address: str, target: str, timeout_s: float) -> _Message | None:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -272,3 +272,85 @@
     again = changes(2, found("order", b"v", 2))
     seen, _ = await reports([snapshot(1, found("order", b"v", 1))], [(1, again)], reports_rewrites=lambda key: counts)
     assert [key for _, key, _ in seen] == ["order"] * reported
+
+
+WATCH_MARGIN_S = 0.8
+
+
+class SilentStore:
+    """Answer no call that is waiting or sent between two times; removals come with the first answer afterwards."""
+
+    def __init__(self, down_s, up_s, event, event_s):
+        self._down_s = down_s
+        self._up_s = up_s
+        self._event = event
+        self._event_s = event_s
+        self._start_s = anyio.current_time()
+        self.answered_s = []
+
+    def _now_s(self):
+        return anyio.current_time() - self._start_s
+
+    async def read_all(self, prefix):
+        return snapshot(5, found("a", b"1", 3), found("b", b"1", 4))
+
+    async def watch_prefix(self, prefix, after, wait_s):
+        end_s = self._now_s() + wait_s
+        if self._now_s() < self._up_s and end_s > self._down_s:
+            await anyio.sleep(wait_s + WATCH_MARGIN_S)
+            return Unavailable("no answer")
+        while self._now_s() < end_s and (after >= 7 or self._now_s() < self._event_s):
+            await anyio.sleep(0.01)
+        self.answered_s.append(self._now_s())
+        return changes(7, self._event) if after < 7 and self._now_s() >= self._event_s else changes(after)
+
+
+@pytest.mark.parametrize("up_s", [3.0, 3.4, 3.9, 4.4, 4.8, 5.2])
+@pytest.mark.parametrize("after_return_s", [-1.0, 1.0, 2.0, 3.0])
+async def test_a_key_that_is_gone_is_reported_soon_after_the_store_is_back(up_s, after_return_s):
+    """Guards against directories that name a removed host once all hosts have to know of its removal."""
+    store = SilentStore(1.0, up_s, removed("a", 7), up_s + after_return_s)
+    seen = []
+    start_s = anyio.current_time()
+    mirror = Mirror(
+        store,
+        Key(""),
+        lambda key, value: seen.append((anyio.current_time() - start_s, key, value)),
+        lambda key: True,
+        anyio.current_time,
+    )
+    with anyio.move_on_after(12.0):
+        await mirror.run()
+    (gone_s,) = [time_s for time_s, _, value in seen if value is None]
+    assert gone_s <= up_s + 3.8
+
+
+async def test_the_return_of_a_silent_store_is_noticed_soon():
+    store = SilentStore(1.0, 4.0, removed("a", 7), 20.0)
+    mirror = Mirror(store, Key(""), lambda key, value: None, lambda key: True, anyio.current_time)
+    with anyio.move_on_after(8.0):
+        await mirror.run()
+    assert min(time_s for time_s in store.answered_s if time_s > 4.0) < 4.0 + 1.8
+
+
+async def test_a_removal_that_another_host_reports_is_not_held_a_second_time():
+    """Guards against followers that add a grace period of their own to that of the host that they follow."""
+    first = snapshot(5, found("a", b"1", 3))
+    by_peer = Changes((removed("a", 6),), Revision(6), grace_s=0.0)
+    seen, _ = await reports([first], [(0.1, Unavailable("down")), (0.1, changes(5)), (0.1, by_peer)])
+    assert seen[-1][1:] == ("a", None) and seen[-1][0] < 0.6
+
+
+@pytest.mark.parametrize(("grace_s", "limit_s"), [(0.0, 0.7), (1.0, 1.7)])
+async def test_a_key_that_another_hosts_copy_lacks_is_held_as_long_as_that_host_waits(grace_s, limit_s):
+    copy = Snapshot((found("b", b"1", 4),), Revision(6), grace_s=grace_s)
+    first = snapshot(5, found("a", b"1", 3), found("b", b"1", 4))
+    seen, _ = await reports([first], [(0.1, Unavailable("down")), (0.1, copy)])
+    assert seen[-1][1:] == ("a", None) and limit_s - 0.6 < seen[-1][0] < limit_s
+
+
+async def test_a_removal_after_a_cut_watch_counts_at_once():
+    """Guards against a leaf that stays in use because the store only cut a watch that was waiting."""
+    first = snapshot(5, found("a", b"1", 3))
+    seen, _ = await reports([first], [(1.2, Unavailable("cut")), (0.1, changes(6, removed("a", 6)))])
+    assert seen[-1][1:] == ("a", None) and seen[-1][0] < 1.5
