Treat a move for an order that was replaced meanwhile as a conflict

Cause: Decider.decide goes through a list of rollouts and waits for the store at each; put_order keeps the times only of the orders that stand now, so that propose finds none for one that was ordered again or withdrawn. Ruled out: put_age, age_ms and put_progress, which go through the present orders without waiting.

Change: propose reports a conflict if the order is no longer the one that stands. Before: both new cases fail with KeyError. After: they pass.

--- a/hawthornbridge/rolloutorders.py
+++ b/hawthornbridge/rolloutorders.py
@@ -215,7 +215,8 @@
         order = rollout.order
         known, revision = self._progress.get(rollout.service, (None, ABSENT))
         generation = Generation(0) if known is None else known.generation
-        if generation != expected:
+        # The decider goes through a list of rollouts, and an order may be replaced or withdrawn meanwhile.
+        if generation != expected or self._orders.get(rollout.service) != order:
             return ChangeConflict(generation, None)
         progress = RolloutProgress(
             order.revision,
--- a/tests/test_orderedrollouts.py
+++ b/tests/test_orderedrollouts.py
@@ -11,7 +11,8 @@
 import trio
 import trio.testing
 
-from hawthornbridge.ids import DomainName, HostId, RouteName, ServiceName, VersionName
+from hawthornbridge.acceptance import ChangeConflict
+from hawthornbridge.ids import DomainName, HostId, OperationId, RouteName, ServiceName, VersionName
 from hawthornbridge.mirror import Mirror
 from hawthornbridge.model import PutRollout, RolloutState
 from hawthornbridge.orderedrollouts import OrderedRollouts
@@ -386,3 +387,25 @@
     site = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert site.status[-1] == "completed"
     assert site.store.written_s(STATUS_KEY) <= ORDERED_S + DURATION_S
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("then", ["ordered again", "withdrawn and another one ordered"])
+async def test_an_order_that_is_replaced_while_the_decider_goes_through_its_list_ends_nothing(then):
+    """Guards against two operators whose orders for many services end the decider's daemon."""
+    store = MemoryTransactionStore()
+    clock = lambda: int(anyio.current_time() * 1_000)  # noqa: E731
+    log = OrderLog(store.client(), encode_status, clock)
+    for number in range(3):
+        service = ServiceName(f"s{number}")
+        log.put_order(RolloutOrder(service, NEW, 10.0, Key(f"op/rollout/{service}"), Revision(number + 1)))
+    listed = list(log.catalogue.rollouts.values())
+    if then == "ordered again":
+        log.put_order(RolloutOrder(ServiceName("s1"), NEW, 10.0, Key("op/rollout/s1"), Revision(9)))
+    else:
+        log.remove_order(ServiceName("s1"))
+        log.put_order(RolloutOrder(ServiceName("s2"), NEW, 10.0, Key("op/rollout/s2"), Revision(9)))
+    for rollout in listed:
+        claimed = msgspec.structs.replace(rollout, decider="h1")
+        outcome = await log.propose(PutRollout(claimed), rollout.generation, OperationId("o"))
+        assert isinstance(outcome, ChangeConflict)
