Accept only addresses and ids of leaves that can be used

Cause: the check of an entry's address allowed any one to five digits for each part, and connect() caught OSError and TimeoutError only. An id with a line break would have been sent within a header (found by reading beside it).

Change: the port is from 1 to 65,535 and the rest an IPv4 address; an id is printable without spaces; a rollout's step is not negative; connect() reports an address that is none as a failed connection, since a peer's address is not checked.

--- a/hawthornbridge/httpconnection.py
+++ b/hawthornbridge/httpconnection.py
@@ -338,6 +338,7 @@
             _, connection = await loop.create_connection(
                 lambda: HttpConnection(id_header, limits, memory), host, int(port)
             )
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # The address may come from a record of another process and be none; a port out of range is an OverflowError.
         return UpstreamFailure(FailureKind.CONNECT, Execution.NOT_RUN, f"no connection to {address}: {error!r}")
     return connection
--- a/hawthornbridge/platform/decoding.py
+++ b/hawthornbridge/platform/decoding.py
@@ -1,5 +1,6 @@
 """Decoding of the keys and values of the platform's store into records."""
 
+import ipaddress
 import re
 from typing import Annotated, Literal
 
@@ -44,7 +45,10 @@
 }
 
 Name = Annotated[str, msgspec.Meta(min_length=1)]
-_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+_PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65_535
+# An id is sent in a header, which ends at a line break and loses spaces at its ends.
+_LEAF_ID = re.compile(r"[!-~]+")
 
 
 class _LeafValue(msgspec.Struct):
@@ -181,7 +185,9 @@
     if value is None:
         return LeafRecord(leaf_id, None)
     fields = _leaf_decoder.decode(value)
-    if not _ADDRESS.fullmatch(fields.address):
+    if not _LEAF_ID.fullmatch(leaf_id):
+        raise msgspec.ValidationError(f"id can't be sent in a header: {leaf_id!r}")
+    if not _is_address(fields.address):
         raise msgspec.ValidationError(f"address is not IPv4:port: {fields.address!r}")
     entry = LeafEntry(
         id=leaf_id,
@@ -198,6 +204,17 @@
     return LeafRecord(leaf_id, entry)
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.partition(":")
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def _configuration(value: bytes) -> RoutingRecord:
     fields = _configuration_decoder.decode(value)
     services = {
--- a/hawthornbridge/rolloutorders.py
+++ b/hawthornbridge/rolloutorders.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
 
@@ -85,7 +85,7 @@
     order: int
     generation: Generation
     state: RolloutState
-    step: int = 0
+    step: Annotated[int, msgspec.Meta(ge=0)] = 0
     reason: str = ""
     decider: str = ""
     age_ms: int = 0
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -200,6 +200,14 @@
         assert connection.is_usable(now_s + 1.5) and not connection.is_usable(now_s + 1.9)
 
 
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:x", "127.0.0.1", "", "\u2603:1"])
+async def test_an_address_that_is_none_is_a_failed_connection(address):
+    """Guards against a record of another process whose address ends every daemon that chooses it."""
+    failure = await connect(address, 0.5)
+    assert isinstance(failure, UpstreamFailure)
+    assert (failure.kind, failure.execution) == (FailureKind.CONNECT, Execution.NOT_RUN)
+
+
 async def test_a_refused_connection_has_sent_nothing(free_port):
     outcome = await connect(f"127.0.0.1:{free_port()}", 1.0)
     assert isinstance(outcome, UpstreamFailure) and outcome.execution is Execution.NOT_RUN
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -89,6 +89,11 @@
         {"service": 3},
         {"address": "host:80"},
         {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.999:80"},
+        {"address": "10.0.0.1:\u0661\u0662"},
+        {"address": "10.0.0.1:80\n"},
         {"slots": "2"},
         {"slots": True},
         {"slots": 0},
@@ -104,6 +109,17 @@
     assert isinstance(record, UnreadableRecord) and record.leaf == "i-1"
 
 
+@pytest.mark.parametrize("leaf_id", ["a\r\nX-Other: 1", "a b", "a\x00", ""])
+def test_an_id_that_cannot_be_sent_in_a_header_names_no_leaf(leaf_id):
+    """Guards against an entry of another writer that adds headers or requests to what callers send."""
+    assert isinstance(read(f"servers/{leaf_id}", LEAF), UnreadableRecord)
+
+
+def test_progress_of_another_writer_with_a_step_that_does_not_exist_is_unreadable():
+    progress = {"order": 1, "generation": 1, "state": "running", "step": -9}
+    assert isinstance(read("rollouts/s", progress), UnreadableRecord)
+
+
 @pytest.mark.parametrize("field", sorted(LEAF.keys() - {"born"}))
 def test_an_entry_with_a_field_missing_names_no_leaf(field):
     value = dict(LEAF)
