--- a/hawthornbridge/platform/program.py
+++ b/hawthornbridge/platform/program.py
@@ -69,6 +69,6 @@
     if checked is not None:
         print(f"{checked}: settings are valid for {reload.current.host}")
         return
-    logoutput.write_to_standard_output(reload.current.host)
+    logoutput.write_to_standard_output().host = reload.current.host
     gc.freeze()
     anyio.run(_serve, reload)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 from pathlib import Path
 
 import anyio
@@ -58,10 +59,13 @@
     return {"version": version, "routes": [common | gather], "services": services}
 
 
+MODULE_COMMAND = ("-m", "hawthornbridge.platform.daemon")
+
+
 class Daemon:
     """Start one daemon, and end it by its id."""
 
-    def __init__(self, folder, store, free_port, node="n1", seeds=()):
+    def __init__(self, folder, store, free_port, node="n1", seeds=(), command=MODULE_COMMAND, starts=True):
         self.ports = {name: free_port() for name in ("front", "ready", "directory", "control")} | {
             "metrics": METRICS_PORT
         }
@@ -71,13 +75,19 @@
         seeds_text = ", ".join(f'"{seed}"' for seed in seeds)
         path.write_text(SETTINGS.format(node=node, ip=self.ip, store=store.address, seeds=seeds_text, **self.ports))
         self._output = (folder / f"{node}.log").open("w+")
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "hawthornbridge.platform.daemon"],
-            cwd=ROOT,
-            env=os.environ | {"HAWTHORNBRIDGE_SETTINGS": str(path)},
-            stdout=self._output,
-            stderr=subprocess.STDOUT,
-        )
+        self._command = command
+        self.process = None
+        if starts:
+            self.start()
+
+    def start(self, **options):
+        options = {"stdout": self._output, "stderr": subprocess.STDOUT} | options
+        # The deployed command does without the folder of installed packages, which the platform names by a variable.
+        environment = os.environ | {
+            "HAWTHORNBRIDGE_SETTINGS": str(self.settings),
+            "PYTHONPATH": sysconfig.get_path("purelib"),
+        }
+        self.process = subprocess.Popen([sys.executable, *self._command], cwd=ROOT, env=environment, **options)
 
     async def ask(self, listener, target, headers=()):
         async with httpcore.AsyncConnectionPool() as pool:
@@ -101,6 +111,8 @@
         return self._output.read()
 
     def end(self):
+        if self.process is None:
+            return
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait()
@@ -129,8 +141,8 @@
     store.put("servers/foreign", b"\xff no entry")
     daemons = []
 
-    def start(node="n1", seeds=()):
-        daemon = Daemon(tmp_path, store, free_port, node, seeds)
+    def start(node="n1", seeds=(), **options):
+        daemon = Daemon(tmp_path, store, free_port, node, seeds, **options)
         daemons.append(daemon)
         return daemon
 
@@ -391,3 +403,16 @@
     await anyio.sleep(0.5)
     assert (await daemon.ask("front", "/all/q", QUERY))[0] == 200
     assert '"message_type":"store_lost"' in daemon.log()
+
+
+@pytest.mark.parametrize("closed", [(1, 2), (0, 1, 2)])
+async def test_a_host_runs_without_standard_descriptors(site, closed):
+    """Guards against a host that never starts, or that writes its log into a caller's connection."""
+    store, _, start = site
+    store.put("op/config", configuration(["s0", "s1"]))
+    daemon = start(starts=False)
+    daemon.start(stdout=None, stderr=None, preexec_fn=lambda: [os.close(descriptor) for descriptor in closed])
+    await daemon.wait_ready()
+    assert (await daemon.ask("front", "/all/q", QUERY))[0] == 200
+    for descriptor in closed:
+        assert os.readlink(f"/proc/{daemon.process.pid}/fd/{descriptor}") == os.devnull
