Wait at the start for a settings file that can be used

Cause: the file was read once, and any error ended the process. While a daemon runs, a reload already keeps the settings before.

Change: the daemon reads the file again each 0.1 s until it can be used and logs each different error once (109).

--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -19,6 +19,7 @@
     DAEMON_REQUESTS_CUT = 105
     SETTINGS_RELOADED = 107
     SETTINGS_REJECTED = 108
+    SETTINGS_AWAITED = 109
 
     # 200 to 299: callers and admission
     CALLER_REQUEST_FAILED = 201
--- a/hawthornbridge/platform/program.py
+++ b/hawthornbridge/platform/program.py
@@ -3,6 +3,7 @@
 import gc
 import os
 import sys
+import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -11,6 +12,7 @@
 
 from hawthornbridge import logoutput
 from hawthornbridge.entryhost import EntryHost
+from hawthornbridge.events import Event, emit
 from hawthornbridge.platform.apps import platform_app
 from hawthornbridge.platform.decoding import STORE_FORMAT
 from hawthornbridge.platform.headers import HEADERS
@@ -21,6 +23,8 @@
 
 __all__ = ["run"]
 
+SETTINGS_RETRY_INTERVAL_S = 0.1
+
 
 async def _serve(reload: SettingsReload) -> None:
     settings = reload.current
@@ -56,19 +60,39 @@
     return cappa.parse(Command).check
 
 
+def _check(path: Path) -> None:
+    try:
+        settings = load(path)
+    except SettingsError as error:
+        sys.exit(str(error))
+    print(f"{path}: settings are valid for {settings.host}")
+
+
+def _await_settings(path: Path) -> SettingsReload:
+    """Read the settings; read a file that can't be used again, because it may be written at this moment."""
+    reported = ""
+    while True:
+        try:
+            return SettingsReload(path, load)
+        except SettingsError as error:
+            detail = str(error)
+        if detail != reported:
+            emit(Event.SETTINGS_AWAITED, detail=detail)
+            reported = detail
+        time.sleep(SETTINGS_RETRY_INTERVAL_S)
+
+
 def run() -> None:
     """Read the settings and run until stopped, or only check the settings."""
     checked = _file_to_check()
     path = checked or os.environ.get(SETTINGS_VARIABLE)
     if not path:
         sys.exit(f"{SETTINGS_VARIABLE} names no settings file")
-    try:
-        reload = SettingsReload(Path(path), load)
-    except SettingsError as error:
-        sys.exit(str(error))
     if checked is not None:
-        print(f"{checked}: settings are valid for {reload.current.host}")
+        _check(checked)
         return
-    logoutput.write_to_standard_output().host = reload.current.host
+    output = logoutput.write_to_standard_output()
+    reload = _await_settings(Path(path))
+    output.host = reload.current.host
     gc.freeze()
     anyio.run(_serve, reload)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -405,6 +405,31 @@
     assert '"message_type":"store_lost"' in daemon.log()
 
 
+@pytest.mark.parametrize("content", [None, "", 40, "nested"], ids=["missing", "empty", "half-written", "nested"])
+async def test_a_host_that_starts_without_usable_settings_waits_for_them(site, content):
+    """Guards against a host that ends because its settings file is being written at the moment of its start."""
+    store, _, start = site
+    store.put("op/config", configuration(["s0", "s1"]))
+    daemon = start(starts=False)
+    text = daemon.settings.read_text()
+    match content:
+        case None:
+            daemon.settings.unlink()
+        case "nested":
+            daemon.settings.write_text("[" * 4_000)
+        case str():
+            daemon.settings.write_text(content)
+        case int():
+            daemon.settings.write_text(text[:content])
+    daemon.start()
+    await wait_for_line(daemon, '"message_type":"settings_awaited"')
+    await anyio.sleep(0.5)
+    assert daemon.process.poll() is None and daemon.log().count("settings_awaited") == 1
+    daemon.settings.write_text(text)
+    await daemon.wait_ready()
+    assert '"host":"n1"' in daemon.log()
+
+
 @pytest.mark.parametrize("closed", [(1, 2), (0, 1, 2)])
 async def test_a_host_runs_without_standard_descriptors(site, closed):
     """Guards against a host that never starts, or that writes its log into a caller's connection."""
