Wait for the addresses of the listeners while another process has them

Cause: each socket was bound once. Ruled out: sockets of closed connections, which SO_REUSEADDR allows for.

Change: the sockets of all addresses are bound and listening, or none is; the entry daemon tries again each 0.1 s until they are, logs it once (110), and stops at once on a signal meanwhile. It registers only when it listens. The project's own daemon tries for 5 s, since a port that is taken for longer is a mistake of its operator.

--- a/hawthornbridge/daemon.py
+++ b/hawthornbridge/daemon.py
@@ -26,6 +26,8 @@
 # Maximum time that a stop waits for the outcomes of executions to be recorded.
 SETTLE_TIMEOUT_S = 5.0
 SETTLE_POLL_INTERVAL_S = 0.05
+# The previous process of a host may still have its addresses for a moment.
+ADDRESS_WAIT_S = 5.0
 # Connections and tables are set up after this time and are then frozen. Without the freeze, each garbage collection of
 # the oldest generation examined all of them and stopped the event loop of a daemon for 30 to 50 ms.
 FREEZE_DELAY_S = 10.0
@@ -52,8 +54,10 @@
             host = Host(settings, tasks)
             tasks.start_soon(host.run)
             tasks.start_soon(_freeze_long_lived_objects)
-            entry = Listener(self._caller_app(host), settings.listeners.callers, settings.limits)
-            operators = Listener(self._operator_app(host), settings.listeners.operators, settings.limits)
+            entry = Listener(self._caller_app(host), settings.listeners.callers, settings.limits, ADDRESS_WAIT_S)
+            operators = Listener(
+                self._operator_app(host), settings.listeners.operators, settings.limits, ADDRESS_WAIT_S
+            )
             await tasks.start(operators.run)
             await tasks.start(entry.run)
             emit(Event.DAEMON_STARTED, host=settings.host.id)
--- a/hawthornbridge/entryhost.py
+++ b/hawthornbridge/entryhost.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Callable
+from math import inf
 from typing import Protocol
 
 import anyio
@@ -95,6 +96,7 @@
             reload.on_change(self._apply_settings)
         self._leaving = False
         self._draining = False
+        self._is_started = False
         own = HostEntry(
             settings.host,
             settings.addresses.callers,
@@ -159,27 +161,33 @@
 
     async def run(self, app: ASGIApp) -> None:
         """Serve an application on all listeners until a planned stop after SIGTERM or SIGINT is complete."""
-        listener = Listener(app, self._settings.addresses.all(), CALLER_LIMITS)
+        listener = Listener(app, self._settings.addresses.all(), CALLER_LIMITS, address_wait_s=inf)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with anyio.create_task_group() as tasks:
-                await tasks.start(listener.run)
-                tasks.start_soon(self._mirror.run)
-                tasks.start_soon(self._presence.run)
-                tasks.start_soon(self._load.run)
-                tasks.start_soon(self._rollouts.run)
-                tasks.start_soon(_freeze_long_lived_objects)
-                if self._reload is not None:
-                    tasks.start_soon(self._reload.run)
-                emit(Event.DAEMON_STARTED, host=self._settings.host)
+                tasks.start_soon(self._start, listener, tasks)
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
                     if self._reload is not None:
                         self._reload.reload()
-                await self._stop(listener)
+                if self._is_started:
+                    await self._stop(listener)
                 tasks.cancel_scope.cancel()
         emit(Event.DAEMON_STOPPED, host=self._settings.host, cut=listener.in_progress)
 
+    async def _start(self, listener: Listener, tasks: TaskGroup) -> None:
+        """Listen, then run the background tasks."""
+        await tasks.start(listener.run)
+        self._is_started = True
+        tasks.start_soon(self._mirror.run)
+        tasks.start_soon(self._presence.run)
+        tasks.start_soon(self._load.run)
+        tasks.start_soon(self._rollouts.run)
+        if self._reload is not None:
+            tasks.start_soon(self._reload.run)
+        tasks.start_soon(_freeze_long_lived_objects)
+        emit(Event.DAEMON_STARTED, host=self._settings.host)
+
     def _apply_settings(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._budget.set_limits(settings.budget)
--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -20,6 +20,7 @@
     SETTINGS_RELOADED = 107
     SETTINGS_REJECTED = 108
     SETTINGS_AWAITED = 109
+    ADDRESS_AWAITED = 110
 
     # 200 to 299: callers and admission
     CALLER_REQUEST_FAILED = 201
--- a/hawthornbridge/listeners.py
+++ b/hawthornbridge/listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from collections.abc import Iterator, Sequence
 
@@ -11,13 +12,17 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from hawthornbridge.callers import ASGIApp, Message, Receive, Scope, Send
+from hawthornbridge.events import Event, emit
 from hawthornbridge.outcomes import Execution, RefusalKind
 from hawthornbridge.settings import LimitSettings
-from hawthornbridge.sockets import accept_all, drop_new_connections, has_unread_bytes, listening_socket
+from hawthornbridge.sockets import accept_all, drop_new_connections, has_unread_bytes, listening_sockets
 
 __all__ = ["Listener"]
 
 POLL_INTERVAL_S = 0.01
+BIND_RETRY_INTERVAL_S = 0.1
+# The address is taken, or its network interface is not up yet.
+TEMPORARY_BIND_ERRORS = frozenset({errno.EADDRINUSE, errno.EADDRNOTAVAIL})
 # Longer than the interval between two requests of a busy caller, so that such a caller seldom has to reconnect.
 KEEP_ALIVE_TIMEOUT_S = 15
 # A drain closes a connection once it has been quiet for this long, because a busy caller may send its next request at
@@ -176,7 +181,10 @@
 class Listener:
     """Listener that serves one ASGI application on one or more addresses until it is drained."""
 
-    def __init__(self, app: ASGIApp, addresses: str | Sequence[str], limits: LimitSettings) -> None:
+    def __init__(
+        self, app: ASGIApp, addresses: str | Sequence[str], limits: LimitSettings, address_wait_s: float = 0.0
+    ) -> None:
+        """Create a listener that waits at most address_wait_s for addresses that other processes have."""
         self._app = app
         self._addresses = [addresses] if isinstance(addresses, str) else list(addresses)
         protocol = type("BoundedProtocol", (_BoundedProtocol,), {"limits": limits})
@@ -194,6 +202,7 @@
             timeout_keep_alive=KEEP_ALIVE_TIMEOUT_S,
         )
         self._server = _Server(config)
+        self._address_wait_s = address_wait_s
         self._closing = False
         self._stopped = anyio.Event()
         self.in_progress = 0
@@ -201,7 +210,7 @@
     async def run(self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Listen and serve; return once the listener is drained."""
         with contextlib.ExitStack() as stack:
-            listening = [stack.enter_context(listening_socket(address)) for address in self._addresses]
+            listening = [stack.enter_context(each) for each in await self._open_sockets()]
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._run_server, listening)
                 while not self._server.started:
@@ -209,6 +218,22 @@
                 task_status.started()
         self._stopped.set()
 
+    async def _open_sockets(self) -> list[socket.socket]:
+        """Listen on all addresses; wait while one is taken, as by the previous process of this host."""
+        until_s = anyio.current_time() + self._address_wait_s
+        is_reported = False
+        while True:
+            try:
+                return listening_sockets(self._addresses)
+            except OSError as error:
+                if error.errno not in TEMPORARY_BIND_ERRORS or anyio.current_time() >= until_s:
+                    raise
+                detail = str(error)
+            if not is_reported:
+                emit(Event.ADDRESS_AWAITED, addresses=self._addresses, detail=detail)
+                is_reported = True
+            await anyio.sleep(BIND_RETRY_INTERVAL_S)
+
     def close_after_answers(self) -> None:
         """Close each connection after its next answer, so that callers move to other hosts."""
         self._closing = True
--- a/hawthornbridge/sockets.py
+++ b/hawthornbridge/sockets.py
@@ -5,8 +5,11 @@
 import select
 import socket
 import struct
+from collections.abc import Sequence
 
-__all__ = ["accept_all", "drop_new_connections", "has_unread_bytes", "listening_socket"]
+__all__ = ["accept_all", "drop_new_connections", "has_unread_bytes", "listening_sockets"]
+
+BACKLOG = 2_048
 
 # From Linux' asm-generic/socket.h; the socket module does not name it.
 SO_ATTACH_FILTER = 26
@@ -24,17 +27,32 @@
 _INSTRUCTION_BYTES = 8
 
 
-def listening_socket(address: str) -> socket.socket:
+def _bound_socket(address: str) -> socket.socket:
     """Return a TCP socket that is bound to an address given as ip:port."""
     # asyncio disables Nagle's algorithm only on sockets that are created with IPPROTO_TCP. With the algorithm on, the
     # second of two writes of an answer waits for the peer's delayed acknowledgement, about 40 ms.
     host, _, port = address.partition(":")
     listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listening.bind((host, int(port)))
+    try:
+        listening.bind((host, int(port)))
+    except OSError:
+        listening.close()
+        raise
     return listening
 
 
+def listening_sockets(addresses: Sequence[str]) -> list[socket.socket]:
+    """Return TCP sockets that listen on addresses given as ip:port; raise OSError if one of them can't be had."""
+    with contextlib.ExitStack() as stack:
+        opened = [stack.enter_context(_bound_socket(address)) for address in addresses]
+        # A port is only taken for certain by listening on it. No caller waits at one before all are bound.
+        for listening in opened:
+            listening.listen(BACKLOG)
+        stack.pop_all()
+    return opened
+
+
 def drop_new_connections(listening: socket.socket) -> None:
     """Drop the first segment of each new connection; their clients send it again after about a second.
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -4,6 +4,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 import sysconfig
@@ -430,6 +431,36 @@
     assert '"host":"n1"' in daemon.log()
 
 
+@pytest.mark.parametrize("listener", ["front", "ready", "directory", "control", "metrics"])
+async def test_a_host_waits_for_an_address_that_another_process_has(site, listener):
+    """Guards against a host that ends because its previous process, or another one, is not gone yet."""
+    store, _, start = site
+    store.put("op/config", configuration(["s0", "s1"]))
+    daemon = start(starts=False)
+    with socket.socket() as other:
+        other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        other.bind((daemon.ip, daemon.ports[listener]))
+        other.listen()
+        daemon.start()
+        await wait_for_line(daemon, '"message_type":"address_awaited"')
+        await anyio.sleep(0.5)
+        assert daemon.process.poll() is None and daemon.log().count("address_awaited") == 1
+    await daemon.wait_ready()
+    assert (await daemon.ask("front", "/all/q", QUERY))[0] == 200
+
+
+async def test_a_host_that_waits_for_an_address_stops_at_once(site):
+    _, _, start = site
+    daemon = start(starts=False)
+    with socket.socket() as other:
+        other.bind((daemon.ip, daemon.ports["front"]))
+        other.listen()
+        daemon.start()
+        await wait_for_line(daemon, '"message_type":"address_awaited"')
+        daemon.process.send_signal(signal.SIGTERM)
+        assert await anyio.to_thread.run_sync(lambda: daemon.process.wait(2)) == 0
+
+
 @pytest.mark.parametrize("closed", [(1, 2), (0, 1, 2)])
 async def test_a_host_runs_without_standard_descriptors(site, closed):
     """Guards against a host that never starts, or that writes its log into a caller's connection."""
