--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -2,14 +2,15 @@
 
 import pytest
 
-from hawthornbridge.sockets import accept_all, drop_new_connections, has_unread_bytes, listening_socket
+from hawthornbridge.sockets import accept_all, drop_new_connections, has_unread_bytes, listening_sockets
 
 CONNECT_TIMEOUT_S = 0.2
 
 
 @pytest.fixture
 def listening():
-    with listening_socket("127.0.0.1:0") as listening:
+    (listening,) = listening_sockets(["127.0.0.1:0"])
+    with listening:
         listening.setblocking(False)
         listening.listen()
         yield listening
@@ -45,3 +46,13 @@
         assert not has_unread_bytes(near)
         far.close()
         assert has_unread_bytes(near)
+
+
+def test_all_addresses_are_listened_on_or_none(free_port):
+    """Guards against callers that wait at one port of a host while another one of its ports is taken."""
+    first, second = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+    (other,) = listening_sockets([second])
+    with other, pytest.raises(OSError, match="in use"):
+        listening_sockets([first, second])
+    for listening in listening_sockets([first, second]):
+        listening.close()
