Ignore SIGHUP before the entry daemon imports its own package

Cause: the default action holds until the program's first line, which comes after the site module, runpy and the package hawthornbridge, whose __init__ imports data classes. Ruled out: setting the action earlier within the package.

Change: the deployed command runs deploy/entry.py, which ignores the signal before any import of the project, without the site module; the platform names the folder of the dependencies by PYTHONPATH. What is left is the start of the interpreter.

--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import sysconfig
+import tomllib
 from pathlib import Path
 
 import anyio
@@ -61,6 +62,9 @@
 
 
 MODULE_COMMAND = ("-m", "hawthornbridge.platform.daemon")
+DEPLOYED_COMMAND = tuple(
+    tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["entry"]["run"].split()[1:]
+)
 
 
 class Daemon:
@@ -472,3 +476,19 @@
     assert (await daemon.ask("front", "/all/q", QUERY))[0] == 200
     for descriptor in closed:
         assert os.readlink(f"/proc/{daemon.process.pid}/fd/{descriptor}") == os.devnull
+
+
+async def test_the_deployed_command_serves_and_ignores_a_hangup_signal_before_the_package_is_imported(site):
+    """Guards against a restarted host that a change of its settings ends before its program runs."""
+    store, _, start = site
+    store.put("op/config", configuration(["s0", "s1"]))
+    daemon = start(command=DEPLOYED_COMMAND)
+    with anyio.fail_after(5):
+        while not ignores_hangup(daemon.process.pid):
+            assert daemon.process.poll() is None
+            await anyio.sleep(0.0002)
+    # The package itself imports a module of this name, in a file of its own, through dataclasses.
+    assert "_opcode" not in Path(f"/proc/{daemon.process.pid}/maps").read_text()
+    daemon.process.send_signal(signal.SIGHUP)
+    await daemon.wait_ready()
+    assert (await daemon.ask("front", "/all/q", QUERY))[0] == 200
