Let no unexpected error in a background task end the entry daemon

A request to a leaf whose connection fails in an unexpected way is logged and ends at its deadline. Listeners are not supervised: a daemon that can't listen serves nothing. Each task keeps its state in its object, so that a restart goes on with it. Left as it is: the project's own daemon, whose parts the tests run in their own process to see such errors.

Before: the new test of the daemon fails (the process ends).

--- a/hawthornbridge/entryhost.py
+++ b/hawthornbridge/entryhost.py
@@ -46,6 +46,7 @@
 from hawthornbridge.settings import LimitSettings
 from hawthornbridge.settingsreload import SettingsReload
 from hawthornbridge.store import Key
+from hawthornbridge.supervision import supervise
 
 __all__ = ["EntryHost", "PlatformStore"]
 
@@ -179,12 +180,12 @@
         """Listen, then run the background tasks."""
         await tasks.start(listener.run)
         self._is_started = True
-        tasks.start_soon(self._mirror.run)
-        tasks.start_soon(self._presence.run)
-        tasks.start_soon(self._load.run)
-        tasks.start_soon(self._rollouts.run)
+        tasks.start_soon(supervise, "copy of the store", self._mirror.run)
+        tasks.start_soon(supervise, "registration", self._presence.run)
+        tasks.start_soon(supervise, "load", self._load.run)
+        tasks.start_soon(supervise, "rollouts", self._rollouts.run)
         if self._reload is not None:
-            tasks.start_soon(self._reload.run)
+            tasks.start_soon(supervise, "settings", self._reload.run)
         tasks.start_soon(_freeze_long_lived_objects)
         emit(Event.DAEMON_STARTED, host=self._settings.host)
 
--- a/hawthornbridge/leafclient.py
+++ b/hawthornbridge/leafclient.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 from math import inf
 
 from anyio.abc import TaskGroup
@@ -15,6 +16,7 @@
 from hawthornbridge.outcomes import Execution
 from hawthornbridge.replymemory import REPLY_LIMITS, ReplyMemory
 from hawthornbridge.subrequests import FailureKind, UpstreamFailure
+from hawthornbridge.supervision import contain
 
 __all__ = ["Exchange", "ExchangeStatus", "LeafClient", "classify_outcome"]
 
@@ -120,7 +122,7 @@
             self._send(exchange, connection)
             return
         leaf.connections += 1
-        self._tasks.start_soon(self._connect_and_send, exchange)
+        self._tasks.start_soon(contain, "request to a leaf", partial(self._connect_and_send, exchange))
 
     def abandon(self, exchange: Exchange) -> None:
         """Stop reporting an exchange; its connection stays in use until the reply has arrived."""
--- a/hawthornbridge/orderedrollouts.py
+++ b/hawthornbridge/orderedrollouts.py
@@ -136,7 +136,10 @@
 
     async def _decide(self) -> None:
         while True:
-            # Evidence comes from callers' requests, so a host that is not serving has nothing to decide on.
-            if self._hosts.is_serving():
-                await self._decider.decide()
+            await self._decide_once()
             await anyio.sleep(DECIDE_INTERVAL_S)
+
+    async def _decide_once(self) -> None:
+        # Evidence comes from callers' requests, so a host that is not serving has nothing to decide on.
+        if self._hosts.is_serving():
+            await self._decider.decide()
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -65,6 +65,30 @@
 DEPLOYED_COMMAND = tuple(
     tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["entry"]["run"].split()[1:]
 )
+# Some calls of a task to the store fail in a way that the task does not expect.
+FAILING_TASKS = """
+from hawthornbridge.orderedrollouts import OrderedRollouts
+from hawthornbridge.platform.daemon import main
+from hawthornbridge.platform.store import MetadataStore
+
+
+def fail_second_call(owner, name):
+    original, calls = getattr(owner, name), []
+
+    async def failing(*args, **kwargs):
+        calls.append(name)
+        if len(calls) == 2:
+            raise KeyError("unexpected")
+        return await original(*args, **kwargs)
+
+    setattr(owner, name, failing)
+
+
+fail_second_call(MetadataStore, "watch_prefix")
+fail_second_call(MetadataStore, "renew_lease")
+fail_second_call(OrderedRollouts, "_decide_once")
+main()
+"""
 
 
 class Daemon:
@@ -492,3 +516,19 @@
     daemon.process.send_signal(signal.SIGHUP)
     await daemon.wait_ready()
     assert (await daemon.ask("front", "/all/q", QUERY))[0] == 200
+
+
+async def test_an_error_that_a_background_task_does_not_expect_ends_no_host(site):
+    """Guards against any error in one of the daemon's tasks that ends all of them and cuts off its requests."""
+    store, _, start = site
+    store.put("op/config", configuration(["s0", "s1"]))
+    daemon = start(command=("-c", FAILING_TASKS))
+    await daemon.wait_ready()
+    for task in ("copy of the store", "registration", "rollouts"):
+        await wait_for_line(daemon, f'"task":"{task}"')
+    assert '"message_type":"task_failed"' in daemon.log() and "unexpected" in daemon.log()
+    store.put("op/config", configuration(["s0"], version=2))
+    with anyio.fail_after(5):
+        while b"," in (await daemon.ask("front", "/all/q", QUERY))[1][b"hawthornbridge-part-stamps"]:
+            await anyio.sleep(0.05)
+    assert daemon.process.poll() is None
