Follow what leaves say of themselves in their answers

Cause: hosts took from an answer only whether the request had run. A leaf that leaves kept its whole share until the store said so, and leaves that refused with Retry-After were asked again after 10 to 100 ms. Ruled out: the entries in the store, which stay ready in the measurement and lag behind in any case.

Change: leafnotices.py keeps for each incarnation of a leaf that it leaves, or until when it wants no requests; LeafTable.exclusion says in one place whether a leaf may be asked and why not, for first attempts, retries, hedges, parts and trials, and once more when a connection has been opened. A 421, interim or foreign reply and a time that can't be read tell nothing. After a hold, requests return one by one with the replies. If no leaf is back in time, a request is refused at once with the time after which the first may be asked; a gathered query leaves the shard out. Events 415 and 416, the outcome leaves_held in explain, and a gauge by reason.

--- a/hawthornbridge/answers.py
+++ b/hawthornbridge/answers.py
@@ -15,6 +15,7 @@
     NO_CONFIGURATION = "no_configuration"
     NO_LEAF = "no_leaf"
     LEAVES_FULL = "leaves_full"
+    LEAVES_HELD = "leaves_held"
     NOT_SENT_IN_TIME = "not_sent_in_time"
     STOPPING = "stopping"
 
--- a/hawthornbridge/entryhost.py
+++ b/hawthornbridge/entryhost.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from math import inf
 from typing import Protocol
 
@@ -24,6 +25,7 @@
 from hawthornbridge.hedgedrequests import GatewayContext
 from hawthornbridge.ids import DomainName
 from hawthornbridge.leafclient import Exchange, ExchangeStatus, LeafClient
+from hawthornbridge.leafnotices import Exclusion
 from hawthornbridge.leaves import COLD_FACTOR, LeafTable
 from hawthornbridge.listeners import Listener
 from hawthornbridge.loopload import LoopLoad
@@ -263,6 +265,14 @@
         add("configuration_version", "Version of the configuration in force", version)
         add("loop_delay_seconds", "Mean delay of the event loop", lambda: self._load.delay_s)
         add("leaves", "Leaves known", lambda: len(self.table))
+        excluded = Gauge(
+            "hawthornbridge_leaves_excluded",
+            "Leaves that get no requests, by reason",
+            ("reason",),
+            registry=self.registry,
+        )
+        for reason in Exclusion:
+            excluded.labels(reason.value).set_function(partial(self.table.count_excluded, reason))
         add("hosts", "Hosts among which limits are divided", self.hosts.count)
         add("store_calls", "Calls to the store since the start", lambda: self._store.calls)
         add("leaf_connections", "Connections to leaves opened since the start", lambda: self._client.opened)
--- a/hawthornbridge/events.py
+++ b/hawthornbridge/events.py
@@ -38,6 +38,8 @@
     LEAF_UNREACHABLE = 412
     LEAF_MISDIRECTED = 413
     LEAF_ENTRY_OUTDATED = 414
+    LEAF_LEAVING = 415
+    LEAF_HELD = 416
 
     # 500 to 599: the store
     STORE_CIRCUIT_OPENED = 501
--- a/hawthornbridge/explanations.py
+++ b/hawthornbridge/explanations.py
@@ -19,6 +19,8 @@
         Event.LEAF_UNREACHABLE.value,
         Event.LEAF_MISDIRECTED.value,
         Event.LEAF_ENTRY_OUTDATED.value,
+        Event.LEAF_LEAVING.value,
+        Event.LEAF_HELD.value,
     }
 )
 HOST_EVENTS = frozenset(
@@ -42,6 +44,7 @@
     "timed_out": "failed: no leaf replied in the time that the caller or the route allows, and it may have run",
     "caller_left": "ended by its caller before an answer",
     "no_leaf": "refused, not run: its service has no usable leaf",
+    "leaves_held": "refused, not run: every leaf of its service is leaving or wants no requests for some time",
     "leaves_full": "refused, not run: every leaf that was asked refused it",
     "not_sent_in_time": "refused, not run: no leaf had a free connection in time",
     "no_configuration": "refused, not run: the host had not read a configuration yet",
@@ -111,7 +114,9 @@
     leaves |= {part.partition("@")[0] for part in slowest[1:]}
     services = set(end.fields.get("missing", ())) | set(slowest[:1])
     for event in events:
-        if event.host != end.host or not 0 <= end.time_s - event.time_s <= LOOK_BACK_S:
+        # A leaf is left out for the time that it has asked for.
+        look_back_s = max(LOOK_BACK_S, float(event.fields.get("wait_s") or 0.0))
+        if event.host != end.host or not 0 <= end.time_s - event.time_s <= look_back_s:
             continue
         concerned = event.fields.get("leaf") in leaves or event.fields.get("service") in services
         if event.number in HOST_EVENTS or (event.number in LEAF_EVENTS and concerned):
--- a/hawthornbridge/fanout.py
+++ b/hawthornbridge/fanout.py
@@ -31,6 +31,8 @@
 CALLER_LEFT_GRACE_S = 0.2
 # Initial latency estimate of a route, as a share of its latency objective.
 INITIAL_OBJECTIVE_SHARE = 0.2
+# Share of the objective for which a shard of a gathered query waits for leaves that want no requests.
+GATHER_WAIT_SHARE = 0.2
 # Absorbs rounding, because the minimum number of shards is a product of floating-point numbers.
 COVERAGE_TOLERANCE = 1e-9
 
@@ -89,10 +91,14 @@
         match route.plan:
             case Gather(shards):
                 services = shards
+                wait_until_s = self._started_s + route.objective_s * GATHER_WAIT_SHARE
             case Forward():
                 assert service is not None
                 services = (service,)
-        self.hedged_requests = [HedgedRequest(context, forwarded, name, window, self._on_change) for name in services]
+                wait_until_s = max(self._started_s, self._give_up_s - route.objective_s)
+        self.hedged_requests = [
+            HedgedRequest(context, forwarded, name, window, self._on_change, wait_until_s) for name in services
+        ]
         self._unfinished = len(self.hedged_requests)
 
     @property
@@ -184,6 +190,9 @@
         ran = any(hedged.may_have_run for hedged in self.hedged_requests)
         in_flight = any(exchange.sent and not exchange.is_over for exchange in self.exchanges)
         if not ran and not in_flight:
+            available_s = [each.available_s for each in self.hedged_requests if now_s < each.available_s < inf]
+            if available_s:
+                return Refused(RefusedReason.LEAVES_HELD, min(available_s) - now_s)
             if now_s >= give_up_s:
                 return Refused(RefusedReason.NOT_SENT_IN_TIME, RETRY_AFTER_S)
             sent = any(hedged.was_sent for hedged in self.hedged_requests)
--- a/hawthornbridge/headernames.py
+++ b/hawthornbridge/headernames.py
@@ -16,3 +16,5 @@
     not_run: bytes
     part_stamps: bytes
     missing_parts: bytes
+    leaving: bytes
+    retry_after: bytes
--- a/hawthornbridge/hedgedrequests.py
+++ b/hawthornbridge/hedgedrequests.py
@@ -1,5 +1,6 @@
 """Request to one service with retries and hedges; the first successful reply is used."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
@@ -32,6 +33,8 @@
 # request again after a refusal still takes from the retry budget.
 MAX_REFUSALS = 3
 MIN_SEND_TIME_S = 0.002
+# Upper bound of the random delay after which requests that waited for a leaf ask it again.
+MAX_RETURN_DELAY_S = 0.1
 
 
 @dataclass(slots=True)
@@ -76,13 +79,17 @@
         service: ServiceName,
         window: LatencyWindow,
         on_change: Callable[["HedgedRequest"], None],
+        wait_until_s: float,
     ) -> None:
+        """Create a request that waits for leaves that want no requests until wait_until_s at most."""
         self.service = service
         self.reply: Reply | None = None
         self.failure: Reply | None = None
         self.is_over = False
         self.may_have_run = False
         self.due_s = inf
+        # When the first leaf of the service may be asked, if the request did not wait for it; inf if there is none.
+        self.available_s = -inf
         self.exchanges: list[Exchange] = []
         self.failed_attempts: list[tuple[str, str]] = []
         self.ended_s = inf
@@ -90,6 +97,7 @@
         self._forwarded = forwarded
         self._window = window
         self._on_change = on_change
+        self._wait_until_s = wait_until_s
         self._rule: VersionRule | None = None
         self._tried: list[Leaf] = []
         self._running = 0
@@ -151,9 +159,15 @@
             self._rule = self._rule.after_trial()
             leaf = context.table.choose(self.service, self._tried, self._rule)
         if leaf is None:
-            if not context.table.has_leaf(self.service, self._rule):
+            available_s = context.table.available_s(self.service, now_s, self._rule)
+            if available_s > max(now_s, self._wait_until_s):
+                self.available_s = available_s
                 self._end()
                 return
+            if available_s > now_s:
+                self._tried.clear()
+                self.due_s = available_s + random.uniform(0.0, MAX_RETURN_DELAY_S)
+                return
             # Every leaf has been tried or has no free connection. Leaves that refused the request may be tried again.
             self._tried.clear()
             self.due_s = now_s + self._next_retry_delay_s()
--- a/hawthornbridge/leafclient.py
+++ b/hawthornbridge/leafclient.py
@@ -12,6 +12,7 @@
 from hawthornbridge.headernames import HeaderNames
 from hawthornbridge.httpconnection import HttpConnection, Outcome, Reply, connect
 from hawthornbridge.ids import RouteName
+from hawthornbridge.leafnotices import LEAVING_VALUE, Exclusion, parse_retry_after_s
 from hawthornbridge.leaves import InFlightRequest, Leaf
 from hawthornbridge.outcomes import Execution
 from hawthornbridge.replymemory import REPLY_LIMITS, ReplyMemory
@@ -25,6 +26,7 @@
 # requests therefore only reuse a connection on which a reply has just arrived.
 NON_IDEMPOTENT_MAX_IDLE_S = 0.2
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 
 
 class ExchangeStatus(Enum):
@@ -174,14 +176,16 @@
                 leaf.idle.remove(connection)
 
         connection.on_closed = closed
-        if exchange.abandoned or not leaf.usable:
+        # The leaf may have said that it leaves, or wants no requests, while the connection was opened.
+        exclusion = leaf.exclusion(self._clock())
+        if exchange.abandoned or exclusion not in (None, Exclusion.RETURNING, Exclusion.DRAINING):
             self._return_to_pool(leaf, connection)
             self._finish(
                 exchange,
                 UpstreamFailure(
                     FailureKind.LEAVING,
                     Execution.NOT_RUN,
-                    "exchange was abandoned or the leaf removed before the request was sent",
+                    "exchange was abandoned, or the leaf may get no request any more, before it was sent",
                 ),
             )
             return
@@ -219,6 +223,8 @@
         latency_s = now_s - exchange.started_s
         status = classify_outcome(outcome, self._names)
         self._on_classified(exchange, status)
+        if isinstance(outcome, Reply) and status is not ExchangeStatus.WRONG_LEAF:
+            self._record_notices(leaf, outcome, now_s)
         match status:
             case ExchangeStatus.SUCCESS:
                 leaf.record_success(latency_s / exchange.median_latency_s, now_s)
@@ -233,6 +239,19 @@
             case _:
                 leaf.record_failure(now_s)
 
+    def _record_notices(self, leaf: Leaf, reply: Reply, now_s: float) -> None:
+        """Record what the reply says of the leaf itself."""
+        notices, entry = leaf.notices, leaf.entry
+        if not notices.is_leaving and reply.header(self._names.leaving) == LEAVING_VALUE:
+            notices.is_leaving = True
+            emit(Event.LEAF_LEAVING, leaf=entry.id, service=entry.service)
+        if reply.status != STATUS_UNAVAILABLE:
+            notices.record_reply(now_s)
+            return
+        wait_s = parse_retry_after_s(reply.header(self._names.retry_after))
+        if wait_s and notices.hold(wait_s, now_s, entry.slots):
+            emit(Event.LEAF_HELD, leaf=entry.id, service=entry.service, wait_s=wait_s)
+
     def _finish(self, exchange: Exchange, outcome: Outcome) -> None:
         exchange.leaf.in_flight.pop(exchange, None)
         exchange.ended_s = self._clock()
--- a/hawthornbridge/leaves.py
+++ b/hawthornbridge/leaves.py
@@ -9,6 +9,7 @@
 
 from hawthornbridge.httpconnection import HttpConnection
 from hawthornbridge.ids import DomainName, ServiceName, UpstreamId, VersionName
+from hawthornbridge.leafnotices import Exclusion, LeafNotices
 from hawthornbridge.routing import ServiceLimits
 from hawthornbridge.versionsplit import VersionRule
 
@@ -44,6 +45,7 @@
 MIN_CONNECTIONS = 2
 # The limit of a cold leaf is per second; the window is longer because requests take different times to reach the leaf.
 COLD_WINDOW_S = 1.1
+MAX_REMOVED_LEAVES = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +89,7 @@
     backoff_until_s: float = -inf
     backoffs: int = 0
     usable: bool = True
+    notices: LeafNotices = field(default_factory=LeafNotices)
     # Times within COLD_WINDOW_S at which this host sent a request to the leaf while it was cold.
     cold_sent_s: deque[float] = field(default_factory=deque)
 
@@ -130,12 +133,25 @@
             cost += OTHER_DOMAIN_COST
         return cost + FAILURE_COST * self._decayed_failure_rate(now_s)
 
+    def exclusion(self, now_s: float) -> Exclusion | None:
+        """Return why the leaf itself rules out a request now, or None."""
+        if not self.usable:
+            return Exclusion.MISDIRECTED
+        if not self.entry.is_ready:
+            return Exclusion.DRAINING
+        return self.notices.exclusion(now_s, self._in_flight_since(self.notices.held_until_s))
+
     def close(self) -> None:
         """Close idle connections; connections in use are closed when their exchange ends."""
         self.usable = False
         for connection in list(self.idle):
             connection.close()
 
+    def _in_flight_since(self, time_s: float) -> int:
+        if not self.notices.replies_left:
+            return 0
+        return sum(request.started_s >= time_s for request in self.in_flight.values())
+
     def _is_stalled(self, now_s: float) -> bool:
         # Counts from the last reply, because a reply to a later request shows that one request is slow, not the leaf.
         for expected in self.in_flight.values():
@@ -184,6 +200,9 @@
         self._cold_factor = cold_factor
         self._cold_slack = cold_slack
         self._leaves: dict[UpstreamId, Leaf] = {}
+        # Leaves that were removed after they had said something of themselves. The entry of an incarnation may be
+        # written again after an outage of the store.
+        self._removed: dict[UpstreamId, Leaf] = {}
         self._by_service: dict[ServiceName, list[Leaf]] = {}
         self._evacuated: frozenset[DomainName] = frozenset()
         self._limits: dict[ServiceName, ServiceLimits] = {}
@@ -201,6 +220,9 @@
             self.remove(entry.id)
             known = Leaf(entry)
             self._leaves[entry.id] = known
+            removed = self._removed.pop(entry.id, None)
+            if removed is not None and _is_same_incarnation(removed.entry, entry):
+                known.notices = removed.notices
         if entry.cold_ms > 0:
             known.cold_until_s = self._clock() + entry.cold_ms / 1_000
         self._rebuild_index()
@@ -208,9 +230,14 @@
     def remove(self, leaf_id: UpstreamId) -> None:
         """Remove a leaf, so that it gets no more requests."""
         leaf = self._leaves.pop(leaf_id, None)
-        if leaf is not None:
-            leaf.close()
-            self._rebuild_index()
+        if leaf is None:
+            return
+        leaf.close()
+        if leaf.notices.is_leaving or self._clock() < leaf.notices.held_until_s:
+            self._removed[leaf_id] = leaf
+            if len(self._removed) > MAX_REMOVED_LEAVES:
+                del self._removed[next(iter(self._removed))]
+        self._rebuild_index()
 
     def evacuate(self, domains: Iterable[DomainName]) -> None:
         """Replace the set of failure domains whose leaves get no requests."""
@@ -232,7 +259,7 @@
         now_s = self._clock()
         best, best_cost = None, inf
         for leaf in self._by_service.get(service, ()):
-            if leaf in excluded or not leaf.usable or leaf.entry.domain in self._evacuated:
+            if leaf in excluded or self.exclusion(leaf, now_s) is not None:
                 continue
             if rule is not None and not rule.allows(leaf.entry.version):
                 continue
@@ -247,18 +274,34 @@
             best.cold_sent_s.append(now_s)
         return best
 
-    def has_leaf(self, service: ServiceName, rule: VersionRule | None = None) -> bool:
-        """Return whether a service has a usable leaf outside evacuated domains that the version rule allows."""
-        return any(
-            leaf.usable
-            and leaf.entry.domain not in self._evacuated
-            and (rule is None or rule.allows(leaf.entry.version))
-            for leaf in self._by_service.get(service, ())
-        )
+    def exclusion(self, leaf: Leaf, now_s: float) -> Exclusion | None:
+        """Return why a leaf may get no request now, or None; limits on connections and cold leaves come on top."""
+        if leaf.entry.domain in self._evacuated:
+            return Exclusion.EVACUATED
+        return leaf.exclusion(now_s)
+
+    def available_s(self, service: ServiceName, now_s: float, rule: VersionRule | None = None) -> float:
+        """Return when the first leaf of a service that the version rule allows may be asked; inf if there is none."""
+        first_s = inf
+        for leaf in self._by_service.get(service, ()):
+            if rule is not None and not rule.allows(leaf.entry.version):
+                continue
+            match self.exclusion(leaf, now_s):
+                case None | Exclusion.RETURNING:
+                    return now_s
+                case Exclusion.HELD:
+                    first_s = min(first_s, leaf.notices.held_until_s)
+        return first_s
+
+    def count_excluded(self, reason: Exclusion) -> int:
+        """Return the number of leaves that may get no request now for a reason."""
+        now_s = self._clock()
+        return sum(self.exclusion(leaf, now_s) is reason for leaf in self._leaves.values())
 
     def versions(self, service: ServiceName) -> set[VersionName]:
-        """Return the versions of the ready leaves of a service."""
-        return {leaf.entry.version for leaf in self._by_service.get(service, ())}
+        """Return the versions of the leaves of a service that are ready and have not said that they leave."""
+        leaves = self._by_service.get(service, ())
+        return {leaf.entry.version for leaf in leaves if not leaf.notices.is_leaving}
 
     def connection_limit(self, service: ServiceName) -> int:
         """Return the number of connections that this host may have to each leaf of a service."""
--- a/hawthornbridge/platform/headers.py
+++ b/hawthornbridge/platform/headers.py
@@ -12,4 +12,6 @@
     not_run=b"hawthornbridge-not-executed",
     part_stamps=b"hawthornbridge-part-stamps",
     missing_parts=b"hawthornbridge-missing-parts",
+    leaving=b"server-leaving",
+    retry_after=b"retry-after",
 )
--- a/standins/platformleaf.py
+++ b/standins/platformleaf.py
@@ -50,6 +50,10 @@
     unframed_share: float = 0.0
     reset_share: float = 0.0
     rubbish_share: float = 0.0
+    # Says in every answer that the leaf leaves.
+    leaving: bool = False
+    # Retry-After of refusals while the leaf is full.
+    retry_after: str | None = None
     # Name of an endless reply that is sent to every request.
     endless: str | None = None
     extra_delay_s: float = 0.005
@@ -81,6 +85,8 @@
     faults: PlatformLeafFaults = field(default_factory=PlatformLeafFaults)
     runs: list[ExecutedRequest] = field(default_factory=list)
     stamps: dict[str, str] = field(default_factory=dict)
+    # Ids of the requests that the leaf has refused because it was full.
+    refused: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.server = Server(self._handle)
@@ -131,7 +137,8 @@
         if call.headers.get("hawthornbridge-expect-instance", self.id) != self.id:
             return Answer(STATUS_MISDIRECTED, b"", headers={"hawthornbridge-instance-id": self.id})
         if self.faults.full or self._waiting >= self.queue:
-            return Answer(503, b"", headers={**echo, "hawthornbridge-not-executed": "1"})
+            self.refused.append(request_id)
+            return Answer(503, b"", headers={**echo, "hawthornbridge-not-executed": "1", **self._notices()})
         self._waiting += 1
         try:
             await self._free_slots.acquire()
@@ -153,7 +160,7 @@
 
     def _reply(self, request_id: str, echo: dict[str, str]) -> Answer | Drop | Raw:
         stamp = f"{self.id}.{next(self._answer_numbers)}"
-        headers = {**echo, "hawthornbridge-server-stamp": stamp}
+        headers = {**echo, "hawthornbridge-server-stamp": stamp, **self._notices()}
         body = self.body(request_id)
         faults = self.faults
         if self._occurs(faults.reset_share):
@@ -177,5 +184,12 @@
             return Raw(framed + b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold")
         return Answer(200, body, headers=headers)
 
+    def _notices(self) -> dict[str, str]:
+        """Return what the leaf says of itself in an answer."""
+        notices = {"server-leaving": "1"} if self.faults.leaving else {}
+        if self.faults.full and self.faults.retry_after is not None:
+            notices["retry-after"] = self.faults.retry_after
+        return notices
+
     def _occurs(self, share: float) -> bool:
         return share > 0 and self._random.random() < share
--- a/tests/test_leaves.py
+++ b/tests/test_leaves.py
@@ -1,4 +1,5 @@
 from collections import Counter
+from math import inf
 
 import pytest
 from hypothesis import given, strategies as st
@@ -42,7 +43,7 @@
 def test_a_removed_leaf_gets_nothing():
     table = table_of(entry("a"))
     table.remove(UpstreamId("a"))
-    assert table.choose(S) is None and not table.has_leaf(S)
+    assert table.choose(S) is None and table.available_s(S, 100.0) == inf
 
 
 def test_a_stalled_leaf_is_avoided_while_another_one_answers():
