--- a/measure/soak.py
+++ b/measure/soak.py
@@ -8,6 +8,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
@@ -15,23 +16,24 @@
 import cappa
 
 from measure.soakcallers import ORDERS, SHARD_SETS, TOP, Callers
-from measure.soakhosts import SoakHost, prepare_host
+from measure.soakhosts import SIGNALLED_AT_START, SoakHost, prepare_host
 from standins.faultproxy import FaultProxy, LinkFault
-from standins.platformleaf import PlatformLeaf, PlatformLeafFaults
+from standins.platformleaf import PlatformLeaf, PlatformLeafFaults, Refusal
 from standins.platformstore import Outage, PlatformStore
 
 __all__ = ["Breach", "Soak", "main"]
 
 HOSTS = 3
+FIRST_BORN_MS = 1_000
 GRACE_S = 3.0
 SETTLING_TIME_S = 4.0
 # Share of the requests that has to be served after the faults; the platform's recovery rule requires less.
 MIN_SERVED_SHARE = 0.9
 DRAIN_LIMIT_S = 3.0
-RESTART_INTERVAL_S = 0.5
-# A process may exit by itself if it reads a half-written settings file, or if a signal arrives in the hundredths of a
-# second before the program runs. Each such exit is counted.
-ALLOWED_EXITS = ("wrong settings", "signalled at its start")
+# After a leaf has asked to be left alone, requests on their way may cross its answer for this time.
+CROSSING_TIME_S = 0.5
+# Requests of one host to a leaf that the platform allows between that time and the end of the leaf's wait.
+MAX_REQUESTS_IN_WAIT = 2
 ROLLOUT_S = 5.0
 # The limits on a bad version that the hosts' settings give.
 EXPOSED_SHARE = 0.1
@@ -77,6 +79,13 @@
         # Leaves of removed versions; late answers may still contain their stamps.
         self._removed_leaves: list[PlatformLeaf] = []
         self._sequence = 1
+        # The start of each leaf that has started again.
+        self._born: dict[str, int] = {}
+        # Faults of the links to leaves: the leaf's id, start and end on the monotonic clock.
+        self._link_faults: list[tuple[str, float, float]] = []
+        # Faults of leaves that speak of themselves have random numbers of their own, so that a listed seed goes on
+        # playing the same other faults.
+        self._notices_random = random.Random(f"notices {seed}")
         self._callers = Callers(self._hosts, self._all_leaves, self._report_breach, self._count)
 
     @property
@@ -92,40 +101,38 @@
             await self._add_host(number, folder)
         tasks: list[asyncio.Task[None]] = []
         try:
-            for host in self._hosts:
-                host.start()
+            tasks = [asyncio.create_task(host.supervise(self._own_exit_of(host))) for host in self._hosts]
             await asyncio.sleep(2.0)
-            tasks = [asyncio.create_task(self._callers.run(number)) for number in range(6)]
+            tasks += [asyncio.create_task(self._callers.run(number)) for number in range(6)]
             tasks.append(asyncio.create_task(self._refresh_leaf_entries()))
-            tasks.append(asyncio.create_task(self._supervise()))
-            await self._inject()
+            async with asyncio.TaskGroup() as injectors:
+                injectors.create_task(self._inject())
+                injectors.create_task(self._inject_notices())
             await self._finish()
         finally:
             for task in tasks:
                 task.cancel()
             for host in self._hosts:
-                host.signal(signal.SIGCONT)
-                host.signal(signal.SIGKILL)
-                await host.ended(5.0)
+                for process_id in await host.end():
+                    self._report_breach("the soak ends what it starts", f"process {process_id} of n{host.number} runs")
             await self._store.stop()
             for leaf in self._all_leaves():
                 await leaf.stop()
             for proxy in (*self._leaf_proxies.values(), *(host.proxy for host in self._hosts)):
                 await proxy.stop()
         self._callers.check_orders()
+        self._check_holds()
+        for host in self._hosts:
+            for line in host.failed_tasks():
+                self._report_breach("no background task fails", f"n{host.number}: {line}")
 
-    async def _supervise(self) -> None:
-        """Restart hosts that exited by themselves, as the platform does."""
-        while True:
-            await asyncio.sleep(RESTART_INTERVAL_S)
-            for host in self._hosts:
-                end = host.unexpected_exit()
-                if end is None:
-                    continue
-                self.counts.statuses[end] += 1
-                if end not in ALLOWED_EXITS:
-                    self._report_breach("a host ends only when it is told to", f"n{host.number}: {end}")
-                host.start()
+    def _own_exit_of(self, host: SoakHost) -> Callable[[str], None]:
+        def on_own_exit(text: str) -> None:
+            self.counts.statuses[text] += 1
+            if text != SIGNALLED_AT_START:
+                self._report_breach("a host ends only when it is told to", f"n{host.number}: {text}")
+
+        return on_own_exit
 
     def _report_breach(self, promise: str, detail: str) -> None:
         self.breaches.append(Breach(promise, detail, round(self.now_s, 2)))
@@ -143,8 +150,9 @@
 
     def _write_leaf(self, leaf: PlatformLeaf, state: str) -> None:
         self._sequence += 1
-        entry = leaf.entry(state=state, seq=self._sequence) | {"address": self._leaf_proxies[leaf.id].address}
-        self._store.put(f"servers/{leaf.id}", entry)
+        born = self._born.get(leaf.id, FIRST_BORN_MS)
+        entry = leaf.entry(state=state, seq=self._sequence, born=born)
+        self._store.put(f"servers/{leaf.id}", entry | {"address": self._leaf_proxies[leaf.id].address})
 
     def _write_configuration(self) -> None:
         common = {"host": "h.example", "timeout_ms": 2_000, "target_latency_ms": 200, "max_attempts": 2}
@@ -205,6 +213,70 @@
             if isinstance(outcome, BaseException):
                 raise outcome
 
+    async def _inject_notices(self) -> None:
+        """Let leaves say at random times that they leave, or that they want no requests for some time."""
+        rng = self._notices_random
+        while self.now_s < self._length_s - SETTLING_TIME_S:
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+            if rng.random() < 0.3:
+                await self._leave_leaf(rng.choice([leaf for leaf in self._leaves if leaf.service == ORDERS]))
+            else:
+                await self._hold_leaf(rng.choice(self._leaves), rng.uniform(0.8, 3.0), rng.uniform(0.2, 1.5))
+
+    async def _leave_leaf(self, leaf: PlatformLeaf) -> None:
+        """Let a leaf leave while its entry stays ready, and start it again; check what it gets meanwhile."""
+        self.history.append(f"{self.now_s:.2f} _leave_leaf {leaf.id}")
+        leaf.faults = PlatformLeafFaults(leaving=True)
+        started_s = time.monotonic()
+        await asyncio.sleep(DRAIN_LIMIT_S + 1.5)
+        for arrival in leaf.arrivals:
+            host, sent_s = self._callers.sent.get(arrival.request_id, (None, 0.0))
+            if host is None or arrival.at_s < started_s:
+                continue
+            told_s = self._callers.told_leaving_s.get((host.number, leaf.id))
+            if told_s is None or sent_s <= told_s + DRAIN_LIMIT_S or not host.is_undisturbed(told_s, sent_s):
+                continue
+            self._report_breach("a leaf that says it leaves gets nothing", f"{leaf.id} got {arrival.request_id}")
+        leaf.faults = PlatformLeafFaults()
+        self._born[leaf.id] = self._born.get(leaf.id, FIRST_BORN_MS) + 1
+        for key in [key for key in self._callers.told_leaving_s if key[1] == leaf.id]:
+            del self._callers.told_leaving_s[key]
+        if leaf.id not in self._drained:
+            self._write_leaf(leaf, "ready")
+
+    async def _hold_leaf(self, leaf: PlatformLeaf, wait_s: float, for_s: float) -> None:
+        """Let a leaf refuse all requests and ask for a time without any."""
+        self.history.append(f"{self.now_s:.2f} _hold_leaf {leaf.id}")
+        leaf.faults = PlatformLeafFaults(full=True, retry_after=f"{wait_s:.1f}")
+        await asyncio.sleep(for_s)
+        leaf.faults = PlatformLeafFaults()
+
+    def _check_holds(self) -> None:
+        """Compare the requests that reached leaves with the times for which they had asked to be left alone."""
+        for leaf in self._all_leaves():
+            arrivals: dict[int, list[float]] = {}
+            for arrival in leaf.arrivals:
+                if arrival.request_id in self._callers.sent:
+                    arrivals.setdefault(self._callers.sent[arrival.request_id][0].number, []).append(arrival.at_s)
+            for refusal in leaf.refused:
+                if refusal.wait_s and refusal.request_id in self._callers.sent:
+                    self._check_hold(leaf, refusal, arrivals)
+
+    def _check_hold(self, leaf: PlatformLeaf, refusal: Refusal, arrivals: dict[int, list[float]]) -> None:
+        host = self._callers.sent[refusal.request_id][0]
+        end_s = refusal.at_s + refusal.wait_s
+        is_cut = any(
+            leaf_id == leaf.id and start_s <= end_s and refusal.at_s <= stop_s
+            for leaf_id, start_s, stop_s in self._link_faults
+        )
+        if is_cut or not host.is_undisturbed(refusal.at_s - CROSSING_TIME_S, end_s):
+            return
+        from_s = refusal.at_s + CROSSING_TIME_S
+        count = sum(from_s < at_s < end_s for at_s in arrivals.get(host.number, ()))
+        if count > MAX_REQUESTS_IN_WAIT:
+            detail = f"{leaf.id} got {count} requests of n{host.number} in the wait after {refusal.request_id}"
+            self._report_breach("a leaf that wants no requests gets none", detail)
+
     async def _finish(self) -> None:
         """Let the system recover without faults, and check the share of requests that is served."""
         self._faults_until_s = self.now_s
@@ -214,21 +286,10 @@
             self._report_breach("service is back after faults", f"{served} of {asked}: {dict(self.counts.late)}")
 
     async def _planned_stop(self) -> None:
-        host = self._random.choice(self._hosts)
-        host.signal(signal.SIGTERM)
-        if not await host.ended(GRACE_S + 2.0):
-            # The process may be paused by another fault; the platform would kill it.
-            host.signal(signal.SIGKILL)
-            await host.ended(2.0)
-        host.start()
+        await self._random.choice(self._hosts).stop(GRACE_S + 2.0)
 
     async def _kill(self) -> None:
-        host = self._random.choice(self._hosts)
-        host.signal(signal.SIGKILL)
-        await host.ended(2.0)
-        await asyncio.sleep(self._random.uniform(0.1, 1.0))
-        if host.process is not None and host.process.poll() is not None:
-            host.start()
+        self._random.choice(self._hosts).kill(self._random.uniform(0.1, 1.0))
 
     async def _pause(self) -> None:
         host = self._random.choice(self._hosts)
@@ -247,7 +308,10 @@
         await self._fault_link(self._random.choice(self._hosts).proxy)
 
     async def _leaf_link(self) -> None:
-        await self._fault_link(self._random.choice(list(self._leaf_proxies.values())))
+        leaf_id, proxy = self._random.choice(list(self._leaf_proxies.items()))
+        started_s = time.monotonic()
+        await self._fault_link(proxy)
+        self._link_faults.append((leaf_id, started_s, time.monotonic()))
 
     async def _fault_link(self, proxy: FaultProxy) -> None:
         if self._random.random() < 0.4:
--- a/measure/soakcallers.py
+++ b/measure/soakcallers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections import Counter
 from collections.abc import Callable, Sequence
 
@@ -35,6 +36,10 @@
         self._report_breach = report
         self._count = count
         self._refused: set[str] = set()
+        # The host that each request was sent to, and when, on the monotonic clock.
+        self.sent: dict[str, tuple[SoakHost, float]] = {}
+        # When a host first passed on an answer in which a leaf says that it leaves, by host and leaf.
+        self.told_leaving_s: dict[tuple[int, str], float] = {}
         self._numbers = 0
 
     async def run(self, number: int) -> None:
@@ -59,6 +64,7 @@
             (HEADER_NAMES["id"], request_id),
             (HEADER_NAMES["deadline"], str(DEADLINE_MS)),
         ]
+        self.sent[request_id] = (host, time.monotonic())
         content = b"order" if method == "POST" else None
         try:
             answer = await pool.request(
@@ -110,6 +116,8 @@
         if answer.status == 200:
             stamp = dict(answer.headers)[b"hawthornbridge-server-stamp"].decode()
             leaf = next((leaf for leaf in self._leaves() if leaf.stamps.get(stamp) == request_id), None)
+            if leaf is not None and (b"server-leaving", b"1") in answer.headers:
+                self.told_leaving_s.setdefault((host.number, leaf.id), time.monotonic())
             if leaf is None or leaf.body(request_id) != answer.content:
                 self._report_breach("the whole answer to its own request", request_id)
 
--- a/measure/soakhosts.py
+++ b/measure/soakhosts.py
@@ -5,15 +5,24 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 import time
-from collections.abc import Sequence
-from dataclasses import dataclass
+import tomllib
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from standins.faultproxy import FaultProxy
 from standins.ports import free_port
 
-__all__ = ["SoakHost", "prepare_host"]
+__all__ = ["SIGNALLED_AT_START", "SoakHost", "prepare_host"]
+
+POLL_INTERVAL_S = 0.02
+RESTART_DELAY_S = 0.5
+END_LIMIT_S = 5.0
+# A signal in the start of the interpreter, before the first line of the program, can't be handled by it.
+SIGNALLED_AT_START = "signalled at its start"
+INTERPRETER_START_S = 1.0
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = """
@@ -44,18 +53,59 @@
     # The correct settings, to which the file is restored after a fault.
     text: str
     process: subprocess.Popen[bytes] | None = None
+    # Times at which the host was started, paused, stopped or killed, on the monotonic clock.
+    disturbed_s: list[float] = field(default_factory=list)
+    _started: list[subprocess.Popen[bytes]] = field(default_factory=list)
+    _restart_delay_s: float = RESTART_DELAY_S
 
     def start(self) -> None:
-        """Start the process."""
-        environment = os.environ | {"HAWTHORNBRIDGE_SETTINGS": str(self.settings)}
+        """Start the process with the deploy file's command."""
+        # The command does without the folder of installed packages, which the platform names by a variable.
+        packages = sysconfig.get_path("purelib")
+        environment = os.environ | {"HAWTHORNBRIDGE_SETTINGS": str(self.settings), "PYTHONPATH": packages}
         with self.log.open("ab") as output:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "hawthornbridge.platform.daemon"],
-                cwd=ROOT,
-                env=environment,
-                stdout=output,
-                stderr=output,
+                [sys.executable, *_deployed_arguments()], cwd=ROOT, env=environment, stdout=output, stderr=output
             )
+        self._started.append(self.process)
+        self.disturbed_s.append(time.monotonic())
+
+    async def supervise(self, on_own_exit: Callable[[str], None]) -> None:
+        """Run the process and start it again after each of its ends; only this task starts it.
+
+        on_own_exit is called with a description of an exit that no signal of the soak has caused.
+        """
+        self.start()
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            if self.process is None or self.process.poll() is None:
+                continue
+            exit_text = self._own_exit(self.process)
+            if exit_text is not None:
+                on_own_exit(exit_text)
+            await asyncio.sleep(self._restart_delay_s)
+            self._restart_delay_s = RESTART_DELAY_S
+            self.start()
+
+    async def stop(self, limit_s: float) -> None:
+        """Stop the process as the platform does, and kill it if it has not ended within the limit."""
+        process = self.process
+        self.signal(signal.SIGTERM)
+        if process is not None and not await _has_ended(process, limit_s):
+            # The process may be paused by another fault.
+            process.kill()
+
+    def kill(self, restart_delay_s: float) -> None:
+        """Kill the process, which is started again after a delay."""
+        self._restart_delay_s = restart_delay_s
+        self.signal(signal.SIGKILL)
+
+    async def end(self) -> list[int]:
+        """Kill every process that was ever started, and return the ids of those that still run."""
+        for process in self._started:
+            if process.poll() is None:
+                process.kill()
+        return [process.pid for process in self._started if not await _has_ended(process, END_LIMIT_S)]
 
     def change_settings(self, retry_slack: int, *, half_written: bool) -> None:
         """Write the settings with another retry budget, or only their first bytes."""
@@ -68,29 +118,45 @@
         """Write the correct settings."""
         self.settings.write_text(self.text)
 
-    def unexpected_exit(self) -> str | None:
-        """Return how the process exited by itself; None if it runs, exited normally or was killed by the soak."""
-        code = None if self.process is None else self.process.poll()
-        if code is None or code in (0, -signal.SIGKILL, -signal.SIGTERM):
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is None or self.process.poll() is not None:
+            return
+        self.process.send_signal(number)
+        if number is not signal.SIGHUP:
+            self.disturbed_s.append(time.monotonic())
+
+    def is_undisturbed(self, from_s: float, to_s: float) -> bool:
+        """Return whether the host was not started, paused, stopped or killed in a span of the monotonic clock."""
+        return not any(from_s <= at_s <= to_s for at_s in self.disturbed_s)
+
+    def failed_tasks(self) -> list[str]:
+        """Return the log lines on background tasks that ended with an unexpected error."""
+        return [line for line in self.log.read_text().splitlines() if '"message_type":"task_failed"' in line]
+
+    def _own_exit(self, process: subprocess.Popen[bytes]) -> str | None:
+        code = process.returncode
+        if code in (0, -signal.SIGKILL, -signal.SIGTERM):
             return None
+        if code == -signal.SIGHUP and time.monotonic() - self.disturbed_s[-1] < INTERPRETER_START_S:
+            return SIGNALLED_AT_START
         last = (self.log.read_text().splitlines() or [""])[-1]
-        if code == -signal.SIGHUP:
-            return "signalled at its start"
-        return "wrong settings" if last.startswith(str(self.settings)) else f"code {code}: {last}"
+        return f"code {code}: {last}"
 
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process if it runs."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    async def ended(self, limit_s: float) -> bool:
-        """Wait for the process to exit; return whether it did so within the limit."""
-        end_s = time.monotonic() + limit_s
-        while self.process is not None and self.process.poll() is None:
-            if time.monotonic() > end_s:
-                return False
-            await asyncio.sleep(0.02)
-        return True
+
+async def _has_ended(process: subprocess.Popen[bytes], limit_s: float) -> bool:
+    end_s = time.monotonic() + limit_s
+    while process.poll() is None:
+        if time.monotonic() > end_s:
+            return False
+        await asyncio.sleep(POLL_INTERVAL_S)
+    return True
+
+
+def _deployed_arguments() -> list[str]:
+    text = (ROOT / "deploy" / "system.toml").read_text()
+    command: str = tomllib.loads(text)["roles"]["entry"]["run"]
+    return command.split()[1:]
 
 
 def prepare_host(number: int, folder: Path, proxy: FaultProxy, others: Sequence[SoakHost]) -> SoakHost:
--- a/standins/platformleaf.py
+++ b/standins/platformleaf.py
@@ -4,12 +4,13 @@
 import hashlib
 import itertools
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from standins.server import REPEATED_BYTES, Answer, Call, Drop, End, Raw, Server
 
-__all__ = ["ENDLESS_REPLIES", "ExecutedRequest", "PlatformLeaf", "PlatformLeafFaults"]
+__all__ = ["ENDLESS_REPLIES", "Arrival", "ExecutedRequest", "PlatformLeaf", "PlatformLeafFaults", "Refusal"]
 
 RECORD_BYTES = 16
 STATUS_MISDIRECTED = 421
@@ -58,6 +59,11 @@
     endless: str | None = None
     extra_delay_s: float = 0.005
 
+    def wait_s(self) -> float:
+        """Return for how long the leaf wants no requests after a refusal; 0 if it does not say so readably."""
+        text = self.retry_after or ""
+        return float(text) if text.replace(".", "", 1).isdecimal() else 0.0
+
 
 @dataclass(frozen=True, slots=True)
 class ExecutedRequest:
@@ -70,6 +76,23 @@
     deadline_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached the leaf, with the time on the monotonic clock."""
+
+    at_s: float
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that the leaf refused, and for how long it then wanted none; 0 if it did not say."""
+
+    at_s: float
+    request_id: str
+    wait_s: float
+
+
 @dataclass
 class PlatformLeaf:
     """Leaf of one shard or service; its records are a hash of the request id, so that a test can compute them."""
@@ -85,8 +108,9 @@
     faults: PlatformLeafFaults = field(default_factory=PlatformLeafFaults)
     runs: list[ExecutedRequest] = field(default_factory=list)
     stamps: dict[str, str] = field(default_factory=dict)
-    # Ids of the requests that the leaf has refused because it was full.
-    refused: list[str] = field(default_factory=list)
+    # Requests that reached the leaf, and those that it refused because it was full.
+    arrivals: list[Arrival] = field(default_factory=list)
+    refused: list[Refusal] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.server = Server(self._handle)
@@ -132,12 +156,14 @@
     async def _handle(self, call: Call) -> Answer | Drop | Raw:
         request_id = call.headers.get("hawthornbridge-attempt-id", "")
         echo = {"hawthornbridge-attempt-id": request_id}
+        self.arrivals.append(Arrival(time.monotonic(), request_id))
         if self.faults.silent:
             await asyncio.sleep(3_600)
         if call.headers.get("hawthornbridge-expect-instance", self.id) != self.id:
             return Answer(STATUS_MISDIRECTED, b"", headers={"hawthornbridge-instance-id": self.id})
         if self.faults.full or self._waiting >= self.queue:
-            self.refused.append(request_id)
+            wait_s = self.faults.wait_s()
+            self.refused.append(Refusal(time.monotonic(), request_id, wait_s))
             return Answer(503, b"", headers={**echo, "hawthornbridge-not-executed": "1", **self._notices()})
         self._waiting += 1
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 SIGNAL_AT_START = (
     "SIGHUP came while a restarted host was starting and ended it; it is ignored until the host listens for it"
 )
+HALF_WRITTEN = "a restarted host found half a settings file and ended; it waits for one that it can use"
 # The length of each run in s, and the reason why the seed is listed.
 SEEDS = {
     1: (10.0, "first seed, no failure"),
@@ -16,6 +17,9 @@
     212: (14.0, SIGNAL_AT_START),
     224: (14.0, SIGNAL_AT_START),
     225: (14.0, SIGNAL_AT_START),
+    1796414038: (12.0, HALF_WRITTEN),
+    1796465770: (12.0, HALF_WRITTEN),
+    773007: (25.0, "a planned stop started a host that had been started already, which then ran twice"),
 }
 
 
