Report an upstream address that is none as a failed connect in the own daemon

Cause: the same as of an entry with port 99999 on the platform: connect() of the project's own upstream protocol turned any text after the colon into a port, and anyio raises OverflowError for one out of range, which ended the task group. Operators' calls check only the form of an address.

Change: an address without a port from 0 to 65,535, or whose host is no name, is a failed connect that sent nothing. Before: 5 of 5 new cases fail. After: they pass. The entry daemon of the platform does not use this module.

--- a/hawthornbridge/leafhttp.py
+++ b/hawthornbridge/leafhttp.py
@@ -33,6 +33,7 @@
 
 __all__ = ["HttpChannel", "HttpUpstreamProtocol"]
 
+MAX_PORT = 65_535
 MAX_BODY_BYTES = 8_388_608
 
 
@@ -283,8 +284,11 @@
 
 
 async def _open(origin: httpcore.URL) -> httpcore.AsyncHTTP11Connection:
-    """Open a connection; raise OSError if the upstream does not accept it."""
-    stream = await anyio.connect_tcp(origin.host.decode(), origin.port or 0)
+    """Open a connection; raise OSError if the upstream does not accept it, or its host is no name."""
+    try:
+        stream = await anyio.connect_tcp(origin.host.decode(), origin.port or 0)
+    except UnicodeError as error:
+        raise OSError(f"not a host: {error}") from error
     return httpcore.AsyncHTTP11Connection(origin.origin, _Stream(stream))
 
 
@@ -311,9 +315,12 @@
 
     async def connect(self, address: str, timeout_s: float) -> Channel | UpstreamFailure:
         """Open a connection and verify with a status call that the upstream answers."""
-        host, _, port = address.partition(":")
+        host, _, port_text = address.partition(":")
+        if not port_text.isdecimal() or int(port_text) > MAX_PORT:
+            return UpstreamFailure(FailureKind.CONNECT, Execution.NOT_RUN, f"not an address: {address!r}")
+        port = int(port_text)
         with anyio.move_on_after(timeout_s):
-            url = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=b"/")
+            url = httpcore.URL(scheme=b"http", host=host.encode(), port=port, target=b"/")
             try:
                 channel = HttpChannel(await _open(url), url)
             except OSError as error:
--- a/tests/test_leafhttp.py
+++ b/tests/test_leafhttp.py
@@ -192,6 +192,13 @@
     assert failure(FailureKind.CONNECT, Execution.NOT_RUN)(outcome)
 
 
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:x", "127.0.0.1", "", "\u2603.example:1"])
+async def test_an_address_that_is_none_is_a_failed_connect(address):
+    """Guards against a change of the configuration whose address ends every daemon."""
+    outcome = await HttpUpstreamProtocol().connect(address, 0.5)
+    assert failure(FailureKind.CONNECT, Execution.NOT_RUN)(outcome)
+
+
 async def test_a_silent_upstream_does_not_hold_up_the_connect():
     with socket.create_server(("127.0.0.1", 0)) as silent:
         started_s = time.monotonic()
