Move the soak's checks on what leaves say into a module

Change: measure/soaknotices.py holds the two checks, which read only what leaves and callers have recorded.

--- a/measure/soak.py
+++ b/measure/soak.py
@@ -17,8 +17,9 @@
 
 from measure.soakcallers import ORDERS, SHARD_SETS, TOP, Callers
 from measure.soakhosts import SIGNALLED_AT_START, SoakHost, prepare_host
+from measure.soaknotices import requests_after_leaving, requests_in_wait
 from standins.faultproxy import FaultProxy, LinkFault
-from standins.platformleaf import PlatformLeaf, PlatformLeafFaults, Refusal
+from standins.platformleaf import PlatformLeaf, PlatformLeafFaults
 from standins.platformstore import Outage, PlatformStore
 
 __all__ = ["Breach", "Soak", "main"]
@@ -30,10 +31,6 @@
 # Share of the requests that has to be served after the faults; the platform's recovery rule requires less.
 MIN_SERVED_SHARE = 0.9
 DRAIN_LIMIT_S = 3.0
-# After a leaf has asked to be left alone, requests on their way may cross its answer for this time.
-CROSSING_TIME_S = 0.5
-# Requests of one host to a leaf that the platform allows between that time and the end of the leaf's wait.
-MAX_REQUESTS_IN_WAIT = 2
 ROLLOUT_S = 5.0
 # The limits on a bad version that the hosts' settings give.
 EXPOSED_SHARE = 0.1
@@ -121,7 +118,10 @@
             for proxy in (*self._leaf_proxies.values(), *(host.proxy for host in self._hosts)):
                 await proxy.stop()
         self._callers.check_orders()
-        self._check_holds()
+        for leaf in self._all_leaves():
+            link_faults = [(start_s, end_s) for leaf_id, start_s, end_s in self._link_faults if leaf_id == leaf.id]
+            for detail in requests_in_wait(leaf, self._callers, link_faults):
+                self._report_breach("a leaf that wants no requests gets none", detail)
         for host in self._hosts:
             for line in host.failed_tasks():
                 self._report_breach("no background task fails", f"n{host.number}: {line}")
@@ -229,14 +229,8 @@
         leaf.faults = PlatformLeafFaults(leaving=True)
         started_s = time.monotonic()
         await asyncio.sleep(DRAIN_LIMIT_S + 1.5)
-        for arrival in leaf.arrivals:
-            host, sent_s = self._callers.sent.get(arrival.request_id, (None, 0.0))
-            if host is None or arrival.at_s < started_s:
-                continue
-            told_s = self._callers.told_leaving_s.get((host.number, leaf.id))
-            if told_s is None or sent_s <= told_s + DRAIN_LIMIT_S or not host.is_undisturbed(told_s, sent_s):
-                continue
-            self._report_breach("a leaf that says it leaves gets nothing", f"{leaf.id} got {arrival.request_id}")
+        for request_id in requests_after_leaving(leaf, started_s, DRAIN_LIMIT_S, self._callers):
+            self._report_breach("a leaf that says it leaves gets nothing", f"{leaf.id} got {request_id}")
         leaf.faults = PlatformLeafFaults()
         self._born[leaf.id] = self._born.get(leaf.id, FIRST_BORN_MS) + 1
         for key in [key for key in self._callers.told_leaving_s if key[1] == leaf.id]:
@@ -251,32 +245,6 @@
         await asyncio.sleep(for_s)
         leaf.faults = PlatformLeafFaults()
 
-    def _check_holds(self) -> None:
-        """Compare the requests that reached leaves with the times for which they had asked to be left alone."""
-        for leaf in self._all_leaves():
-            arrivals: dict[int, list[float]] = {}
-            for arrival in leaf.arrivals:
-                if arrival.request_id in self._callers.sent:
-                    arrivals.setdefault(self._callers.sent[arrival.request_id][0].number, []).append(arrival.at_s)
-            for refusal in leaf.refused:
-                if refusal.wait_s and refusal.request_id in self._callers.sent:
-                    self._check_hold(leaf, refusal, arrivals)
-
-    def _check_hold(self, leaf: PlatformLeaf, refusal: Refusal, arrivals: dict[int, list[float]]) -> None:
-        host = self._callers.sent[refusal.request_id][0]
-        end_s = refusal.at_s + refusal.wait_s
-        is_cut = any(
-            leaf_id == leaf.id and start_s <= end_s and refusal.at_s <= stop_s
-            for leaf_id, start_s, stop_s in self._link_faults
-        )
-        if is_cut or not host.is_undisturbed(refusal.at_s - CROSSING_TIME_S, end_s):
-            return
-        from_s = refusal.at_s + CROSSING_TIME_S
-        count = sum(from_s < at_s < end_s for at_s in arrivals.get(host.number, ()))
-        if count > MAX_REQUESTS_IN_WAIT:
-            detail = f"{leaf.id} got {count} requests of n{host.number} in the wait after {refusal.request_id}"
-            self._report_breach("a leaf that wants no requests gets none", detail)
-
     async def _finish(self) -> None:
         """Let the system recover without faults, and check the share of requests that is served."""
         self._faults_until_s = self.now_s
