--- a/hawthornbridge/loads.py
+++ b/hawthornbridge/loads.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from hawthornbridge.domains import ShardLoad
+from hawthornbridge.domaincapacity import ShardLoad
 from hawthornbridge.ids import DomainName, HostId, MapId, ServiceName, ShardName, SnapshotNumber
 from hawthornbridge.membership import Membership
 from hawthornbridge.model import Catalogue, DomainState, Service
--- a/hawthornbridge/operationscodec.py
+++ b/hawthornbridge/operationscodec.py
@@ -16,7 +16,8 @@
     ChangeUncertain,
     QuorumMissing,
 )
-from hawthornbridge.domains import CapacityShort, HostMove, MoveProgress, Shortage
+from hawthornbridge.domaincapacity import Shortage
+from hawthornbridge.domains import CapacityShort, HostMove, MoveProgress
 from hawthornbridge.ids import Generation, OperationId, ServiceName, ShardName
 from hawthornbridge.model import (
     Catalogue,
--- a/hawthornbridge/operators.py
+++ b/hawthornbridge/operators.py
@@ -21,11 +21,11 @@
     ChangeUncertain,
     QuorumMissing,
 )
+from hawthornbridge.domaincapacity import LoadSource
 from hawthornbridge.domains import (
     CapacityShort,
     DomainMoves,
     DrainOutcome,
-    LoadSource,
     MoveProgress,
     MoveState,
     all_confirmed,
--- a/tests/operatorfakes.py
+++ b/tests/operatorfakes.py
@@ -16,7 +16,8 @@
     HostProgress,
     QuorumMissing,
 )
-from hawthornbridge.domains import DomainMoves, ShardLoad
+from hawthornbridge.domaincapacity import ShardLoad
+from hawthornbridge.domains import DomainMoves
 from hawthornbridge.model import (
     Catalogue,
     ChangeRejectedError,
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -6,7 +6,7 @@
 
 from hawthornbridge import settings
 from hawthornbridge.deployments import Deployment, DeploymentError, load as load_deployment, plan
-from hawthornbridge.domains import ShardLoad, shortages
+from hawthornbridge.domaincapacity import ShardLoad, shortages
 from hawthornbridge.model import CoverageFirst, LatencyFirst, Upstream, fold
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
--- a/tests/test_domains.py
+++ b/tests/test_domains.py
@@ -4,7 +4,8 @@
 from operatorfakes import CHANGES, FakeChangeLog, FakeHead, FakeLoad, catalogue
 
 from hawthornbridge.acceptance import ChangeAccepted, ChangeConflict, ChangeInvalid, ChangeNotAccepted
-from hawthornbridge.domains import CapacityShort, DomainMoves, MoveState, ShardLoad, Shortage, shortages
+from hawthornbridge.domaincapacity import ShardLoad, Shortage, shortages
+from hawthornbridge.domains import CapacityShort, DomainMoves, MoveState
 from hawthornbridge.model import DomainState, Entry, PutShardMap, ShardMap
 from standins.fleet import Fleet as ControlFleet
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -18,7 +18,8 @@
     ChangeUncertain,
     QuorumMissing,
 )
-from hawthornbridge.domains import CapacityShort, Shortage
+from hawthornbridge.domaincapacity import Shortage
+from hawthornbridge.domains import CapacityShort
 from hawthornbridge.model import (
     DomainState,
     Entry,
