--- a/review/rig2.py
+++ b/review/rig2.py
@@ -264,6 +264,18 @@
         self._record.write(f"{now_s:9.3f} {text}\n")
         self._record.flush()
 
+    def note_answer(self, sent: Sent) -> None:
+        """Write what a caller sent and got."""
+        answer = str(sent.status) if sent.status else f"no answer ({sent.error})"
+        self.note(f"caller sent {sent.attempt}: {answer} after {sent.took_s * 1000:.0f} ms", sent.at_s)
+
+    def note_leaves(self) -> None:
+        """Write which requests reached each leaf, and which of them it ran."""
+        for leaf in self.leaves:
+            ran = {each.request_id for each in leaf.runs}
+            for each in leaf.arrivals:
+                self.note(f"leaf {leaf.id} got {each.request_id}{'' if each.request_id in ran else ', not run'}", each.at_s)
+
     def spawn(self, coroutine) -> asyncio.Task[None]:
         """Run a part of the case until the end."""
         task = asyncio.create_task(coroutine)
@@ -294,6 +306,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for host in self.hosts:
             host.kill()
+        self.note_leaves()
         for leaf in self.leaves:
             await leaf.stop()
         await self.store.stop()
