--- a/review/budget2.py
+++ b/review/budget2.py
@@ -131,5 +131,7 @@
         worst = max(worst, (extra - allowed, extra, allowed, from_s))
     over, extra, allowed, from_s = worst
     rig.note(f"callers saw {dict(traffic.statuses)}")
-    rig.note(f"in {window_s} s from {from_s - rig.started_s:.3f}: {extra} arrivals beyond the first, allowed {allowed:.1f}")
+    rig.note(
+        f"in {window_s} s from {from_s - rig.started_s:.3f}: {extra} arrivals beyond the first, allowed {allowed:.1f}"
+    )
     return over > 0
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -274,7 +274,9 @@
         for leaf in self.leaves:
             ran = {each.request_id for each in leaf.runs}
             for each in leaf.arrivals:
-                self.note(f"leaf {leaf.id} got {each.request_id}{'' if each.request_id in ran else ', not run'}", each.at_s)
+                self.note(
+                    f"leaf {leaf.id} got {each.request_id}{'' if each.request_id in ran else ', not run'}", each.at_s
+                )
 
     def spawn(self, coroutine) -> asyncio.Task[None]:
         """Run a part of the case until the end."""
