--- a/tests/test_hostilecallers.py
+++ b/tests/test_hostilecallers.py
@@ -3,250 +3,45 @@
 Each test starts one daemon on loopback. The settings' limits are low, so that a small crowd shows the fault.
 """
 
-import asyncio
-import contextlib
-import re
-import signal
-import socket
-import struct
-from collections.abc import Sequence
-from dataclasses import dataclass
-from pathlib import Path
-
 import anyio
 import pytest
 
-from standins.platformleaf import PlatformLeaf
-from standins.platformstore import PlatformStore
+from tests.hostileclients import (
+    BODY_BYTES,
+    CROWD,
+    ENDLESS,
+    GET,
+    HANG_S,
+    HEADER_BYTES,
+    LARGE_BODY_BYTES,
+    LIMITS,
+    LISTENERS,
+    POST,
+    UNREAD_ANSWER_BYTES,
+    WHOLE_BODY_BYTES,
+    WHOLE_CROWD,
+    WHOLE_MAX_FDS,
+    check_sound,
+    hostile_site,
+    open_sockets,
+    play,
+    put_configuration,
+    raise_descriptors,
+)
 from tests.platformfakes import real_sockets
 from tests.slowleaves import UnreadingLeaf
-from tests.test_platform_daemon import DEPLOYED_COMMAND, QUERY, Daemon, configuration, forwarding, wait_for_line
 
 pytestmark = [pytest.mark.anyio, pytest.mark.apart]
 anyio_backend = real_sockets()
+site = hostile_site()
 
-# Limits of the machine, as its settings state them. Of the descriptors, 200 are reserved for files.
-MEMORY_MB = 64
-MAX_FDS = 300
-MAX_SOCKETS = MAX_FDS - 200
-# Limits of the configuration.
-HEADER_BYTES = 8_192
-BODY_BYTES = 65_536
-LARGE_BODY_BYTES = 1_048_576
-LIMITS = {
-    "max_header_bytes": HEADER_BYTES,
-    "max_body_bytes": BODY_BYTES,
-    "header_timeout_ms": 2_000,
-    "idle_timeout_ms": 10_000,
-}
-CROWD = 12
 HOLDING_CROWD = 40
 IDLE_CROWD = 150
 UNREAD_CROWD = 40
-# Requests that each fit into one read of the daemon. Their descriptors are stated in the test.
-WHOLE_CROWD = 500
-WHOLE_BODY_BYTES = 30_000
-WHOLE_MAX_FDS = 1_300
 # Connections that each client of a crowd opens and resets.
 RESETS = 300
 # Connections to leaves and the store that a daemon keeps after requests.
 KEPT_SOCKETS = 10
-UNREAD_ANSWER_BYTES = 3_145_728
-# A client that gets rid of this many bytes, 64 times the limit on bodies, is not refused.
-REFUSED_WITHIN_BYTES = 64 * BODY_BYTES
-WRITE_BYTES = 16_384
-SEND_BUFFER_BYTES = 32_768
-RECEIVE_BUFFER_BYTES = 16_384
-# Ends a test that hangs; no check depends on it.
-HANG_S = 120.0
-LISTENERS = ("front", "ready", "directory", "control", "metrics")
-
-POST = b"POST /s0/x HTTP/1.1\r\nhost: h.example\r\nhawthornbridge-attempt-id: hostile\r\n"
-CHUNKED = POST + b"transfer-encoding: chunked\r\n\r\n"
-GET = b"GET /s0/x HTTP/1.1\r\nhost: h.example\r\nhawthornbridge-attempt-id: hostile\r\n"
-
-
-@dataclass(frozen=True)
-class Stream:
-    """Bytes that a hostile client sends: an opening, and then a part again and again."""
-
-    opening: bytes
-    repeated: bytes
-
-
-ENDLESS = {
-    "request line": Stream(b"GET /s0/", b"x"),
-    "header line": Stream(GET + b"long: ", b"x"),
-    "header lines": Stream(GET, b"a: bcdef\r\n"),
-    "empty lines": Stream(b"", b"\r\n"),
-    "trailers": Stream(CHUNKED + b"0\r\n", b"name: " + b"v" * 56 + b"\r\n"),
-    "trailer line": Stream(CHUNKED + b"0\r\nname: ", b"x"),
-    "announced body": Stream(POST + b"content-length: 2000000000\r\n\r\n", b"x"),
-    "chunked body": Stream(CHUNKED, b"1f9\r\n" + b"x" * 505 + b"\r\n"),
-    "tiny chunks": Stream(CHUNKED, b"1\r\nx\r\n"),
-    "chunk extension": Stream(CHUNKED + b"5;", b"x"),
-    "chunk extensions": Stream(CHUNKED, b"1;name=" + b"v" * 502 + b"\r\nx\r\n"),
-}
-
-
-class Crowd:
-    """Hostile clients over sockets of their own; none of them reads what it gets."""
-
-    def __init__(self, address):
-        self._address = address
-        self._connections = []
-
-    async def connect(self):
-        connection = socket.socket()
-        connection.setblocking(False)
-        # Bytes in the buffers of the kernel count as sent, although nobody has read them.
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        self._connections.append(connection)
-        await asyncio.get_running_loop().sock_connect(connection, self._address)
-        return connection
-
-    async def flood(self, stream):
-        """Send without end; return whether the connection was closed before it had sent what refusals are due in."""
-        loop = asyncio.get_running_loop()
-        write = stream.repeated * (WRITE_BYTES // len(stream.repeated))
-        sent = 0
-        try:
-            connection = await self.connect()
-            await loop.sock_sendall(connection, stream.opening)
-            while sent < REFUSED_WITHIN_BYTES:
-                await loop.sock_sendall(connection, write)
-                sent += len(write)
-        except OSError:
-            return True
-        return False
-
-    async def send_held(self, content):
-        """Send what the daemon takes at once or is closed at, and keep the connection."""
-        with anyio.move_on_after(5.0):
-            try:
-                await asyncio.get_running_loop().sock_sendall(await self.connect(), content)
-            except OSError:
-                return
-
-    async def ask_one_after_the_other(self, content, count, answered):
-        """Send the same request over several connections, each once the one before it has run at the leaf."""
-        for number in range(1, count + 1):
-            await self.send_held(content)
-            while answered() < number:
-                await anyio.sleep(0.005)
-
-    async def reset_often(self, contents, count):
-        """Open connections one after the other, send a little on each, and reset it at once."""
-        for number in range(count):
-            connection = await self.connect()
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            with contextlib.suppress(OSError):
-                connection.send(contents[number % len(contents)])
-            self._connections.remove(connection)
-            connection.close()
-
-    def close(self):
-        for connection in self._connections:
-            connection.close()
-
-
-@pytest.fixture
-async def site(tmp_path, free_port, record_property):
-    """Return a started daemon, a function that makes crowds at one of its listeners, the store and the leaves."""
-    store = PlatformStore()
-    await store.start()
-    leaves = [PlatformLeaf(f"{shard}-0", shard) for shard in ("s0", "s1")]
-    for leaf in leaves:
-        await leaf.start()
-        store.put(f"servers/{leaf.id}", leaf.entry())
-    put_configuration(store, LIMITS)
-    daemon = Daemon(tmp_path, store, free_port, "n31", command=DEPLOYED_COMMAND, starts=False)
-    with daemon.settings.open("a") as file:
-        file.write(f"limits: {{memory_mb: {MEMORY_MB}, max_fds: {MAX_FDS}}}\n")
-    daemon.start()
-    await daemon.wait_ready()
-    crowds = []
-
-    def crowd_at(listener="front"):
-        crowds.append(Crowd((daemon.ip, daemon.ports[listener])))
-        return crowds[-1]
-
-    yield daemon, crowd_at, store, leaves
-    for crowd in crowds:
-        crowd.close()
-    daemon.end()
-    for server in (store, *leaves):
-        await server.stop()
-
-
-def put_configuration(store, limits, version=1):
-    gather, single = configuration(["s0", "s1"], version), forwarding(["s0"])
-    store.put("op/config", gather | {"routes": gather["routes"] + single["routes"], "limits": limits})
-
-
-def peak_memory_mb(daemon):
-    status = Path(f"/proc/{daemon.process.pid}/status").read_text()
-    return int(re.search(r"VmHWM:\s*(\d+) kB", status)[1]) / 1_024
-
-
-def open_sockets(daemon):
-    folder = Path(f"/proc/{daemon.process.pid}/fd")
-    count = 0
-    for descriptor in list(folder.iterdir()):
-        try:
-            count += str(descriptor.readlink()).startswith("socket:")
-        except FileNotFoundError:
-            continue
-    return count
-
-
-class MostSockets:
-    """The most sockets that a daemon was seen to have open while the tests ran."""
-
-    def __init__(self, daemon):
-        self._daemon = daemon
-        self.count = 0
-
-    async def watch(self):
-        while True:
-            self.count = max(self.count, open_sockets(self._daemon))
-            await anyio.sleep(0.01)
-
-
-async def play(daemon, clients):
-    """Run the clients at the same time; return their results and the most sockets of the daemon."""
-    most, results = MostSockets(daemon), []
-
-    async def run(client):
-        results.append(await client)
-
-    with anyio.fail_after(HANG_S):
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(most.watch)
-            async with anyio.create_task_group() as crowd:
-                for client in clients:
-                    crowd.start_soon(run, client)
-            most.count = max(most.count, open_sockets(daemon))
-            tasks.cancel_scope.cancel()
-    return results, most.count
-
-
-async def check_sound(daemon, most_sockets, request_ids: Sequence[str] = ("r1",), max_sockets: int = MAX_SOCKETS):
-    """Check that the daemon lives within the limits of its machine and answers an ordinary request."""
-    assert daemon.process.poll() is None, daemon.log()
-    for request_id in request_ids:
-        with anyio.fail_after(HANG_S):
-            status, _, body = await daemon.ask(
-                "front", "/all/q", [("Hawthornbridge-Attempt-Id", request_id), QUERY[1]]
-            )
-        assert (status, len(body)) == (200, 80)
-    # The answer shows that the daemon has accepted the connections of the crowd, which were made before.
-    most_sockets = max(most_sockets, open_sockets(daemon))
-    peak_mb = peak_memory_mb(daemon)
-    print(f"peak {peak_mb:.1f} MB, at most {most_sockets} sockets")
-    assert peak_mb < MEMORY_MB
-    assert most_sockets <= max_sockets
 
 
 @pytest.mark.parametrize("kind", ENDLESS)
@@ -333,10 +128,7 @@
 async def test_many_whole_requests_at_a_silent_leaf_do_not_use_up_the_memory(site, kind):
     """Guards against requests that are each received in one read, so that no limit on their sum is met before."""
     daemon, crowd_at, _, leaves = site
-    text = daemon.settings.read_text()
-    daemon.settings.write_text(text.replace(f"max_fds: {MAX_FDS}", f"max_fds: {WHOLE_MAX_FDS}"))
-    daemon.process.send_signal(signal.SIGHUP)
-    await wait_for_line(daemon, '"message_type":"settings_reloaded"')
+    await raise_descriptors(daemon)
     leaves[0].faults.silent = True
     body = POST + b"content-length: %d\r\n\r\n" % WHOLE_BODY_BYTES + b"x" * WHOLE_BODY_BYTES
     headers = GET + b"a:\r\n" * 500 + b"\r\n"
--- a/tests/test_hostileowncallers.py
+++ b/tests/test_hostileowncallers.py
@@ -11,8 +11,8 @@
 from measure.local import free_address, settings_tree
 from standins.hostlist import HostList
 from standins.store import StoreServer
+from tests.hostileclients import CROWD, ENDLESS, HANG_S, Crowd, peak_memory_mb
 from tests.platformfakes import real_sockets
-from tests.test_hostilecallers import CROWD, ENDLESS, HANG_S, Crowd, peak_memory_mb
 
 pytestmark = [pytest.mark.anyio, pytest.mark.apart]
 anyio_backend = real_sockets()
@@ -63,7 +63,7 @@
 
 
 @pytest.mark.parametrize("listener", ["callers", "operators"])
-@pytest.mark.parametrize("kind", ["empty lines", "trailers"])
+@pytest.mark.parametrize("kind", ["empty lines", "trailers", "header lines", "chunked body", "tiny chunks"])
 async def test_the_own_interface_refuses_a_client_that_sends_without_end(daemon, kind, listener):
     """Guards against a process that runs out of memory, or reads for good, because of what a client sends."""
     host, _, port = getattr(daemon, listener).partition(":")
