Keep no headers of refused heads in the scope of their request

Cause: a refused head gives its bytes back to CallerMemory and clears CallerProtocol.headers, but uvicorn's scope, created when the head begins, refers to the same list until the connection is aborted a second later. Only the scope of a complete head, which its cycle has, was cleared. What is not counted is taken again by the next heads.

Ruled out: the count of heads in progress (160 bytes a header beside its bytes is what they take), the bytes that are read and discarded after a refusal (none are kept).

--- a/hawthornbridge/callerprotocol.py
+++ b/hawthornbridge/callerprotocol.py
@@ -332,6 +332,9 @@
     def _release_head(self) -> None:
         """Keep no headers of a request that is over, since its connection may stay open for long."""
         self.headers = []
+        # Uvicorn creates the scope when a head begins, and a cycle when it ends; both refer to the list.
+        if self.scope is not None:
+            self.scope["headers"] = self.headers
         if self.cycle is not None:
             self.cycle.scope["headers"] = self.headers
 
