Free the memory of a closed connection without a garbage collection

Seen: a closed connection stays in memory, with the headers of a head that it had begun, until a full garbage collection.

Cause: CallerProtocol refers to its timers, which refer back by the callback for a phase that takes too long.

Ruled out: uvicorn's cycle and parser; both drop their references when a request or a connection ends.

--- a/hawthornbridge/callertimers.py
+++ b/hawthornbridge/callertimers.py
@@ -44,9 +44,12 @@
             self._reading_timer = self._loop.call_later(self._bounds.limits.idle_s, self._check_reader, size)
 
     def stop(self) -> None:
-        """Stop all timers."""
+        """Stop all timers for good."""
         self.watch_phase(CallerPhase.BETWEEN)
         self._stop_reading_timer()
+        # The connection refers to its timers. With a reference back, its memory would be freed only by a full garbage
+        # collection.
+        self._on_timeout = _ignore_timeout
 
     def limit_s(self, phase: CallerPhase) -> float:
         """Return how long a phase may take."""
@@ -74,3 +77,7 @@
             self._transport.abort()
         else:
             self.watch_reader()
+
+
+def _ignore_timeout() -> None:
+    """Do nothing for a connection that is closed."""
--- a/tests/test_callerprotocol.py
+++ b/tests/test_callerprotocol.py
@@ -1,13 +1,19 @@
 """The protocol of callers' connections without a network."""
 
 import asyncio
+import gc
 import itertools
 import socket
+import weakref
 
 import pytest
+import uvicorn
 from hypothesis import given, strategies as st
+from uvicorn.server import ServerState
 
 from hawthornbridge.callerlimits import MIN_MEMORY_BYTES, CallerBounds, CallerLimits, MachineLimits
+from hawthornbridge.callerprotocol import CallerProtocol
+from hawthornbridge.callers import send_json
 from tests.callerconnections import Connection, settle
 
 LIMITS = CallerLimits(header_bytes=512, body_bytes=1_024)
@@ -510,3 +516,46 @@
         return results
 
     assert asyncio.run(run()) == (0, 1, False)
+
+
+ENDINGS = {
+    "opened": b"",
+    "answered": GET,
+    "half a head": GET[:-2] + b"a:\r\n" * 500,
+    "refused": GET[:-2] + b"a:\r\n" * 600,
+    "half a body": POST[:-3],
+}
+
+
+@pytest.mark.parametrize("ending", ENDINGS)
+def test_a_closed_connection_is_freed_at_once(ending):
+    """Guards against connections in reference cycles, which keep their headers until a garbage collection."""
+    created = []
+
+    async def answer(scope, receive, send):
+        while (await receive()).get("more_body"):
+            pass
+        await send_json(send, 200, {})
+
+    def create():
+        config = uvicorn.Config(answer, interface="asgi3", ws="none", lifespan="off", log_config=None)
+        kind = type("Protocol", (CallerProtocol,), {"bounds": CallerBounds(CallerLimits(), MACHINE)})
+        protocol = kind(config=config, server_state=ServerState(), app_state={})
+        created.append(weakref.ref(protocol))
+        return protocol
+
+    async def run():
+        client, accepted = socket.socketpair()
+        transport, _ = await asyncio.get_running_loop().connect_accepted_socket(create, accepted)
+        client.send(ENDINGS[ending])
+        await settle(lambda: False)
+        transport.abort()
+        await settle(lambda: False)
+        client.close()
+
+    gc.disable()
+    try:
+        asyncio.run(run())
+        assert created[0]() is None
+    finally:
+        gc.enable()
