Skip empty lines before a request without a step for each byte

Cause: RequestSizes.skip_empty_lines looked at each byte in Python: 2.95 ms of processor time for one read of 32 KB, before it refused the connection for the first 16 KB of them.

Ruled out: the refusal itself and what is discarded after it; a connection without input takes 0.12 ms (same measurement).

The limit is checked before the form, so that no more than the limit is compared. A carriage return before CR and LF, which was taken for a half line, is refused with 400 now.

--- a/hawthornbridge/requestsizes.py
+++ b/hawthornbridge/requestsizes.py
@@ -84,17 +84,15 @@
 
     def skip_empty_lines(self, data: bytes, position: int, limits: CallerLimits) -> int:
         """Return the position behind the empty lines."""
-        end = position
-        while end < len(data) and data[end] in EMPTY_LINE_BYTES:
-            end += 1
-        lines = (b"\r" if self._half_empty_line else b"") + data[position:end]
-        rest = lines.replace(b"\r\n", b"")
-        self._half_empty_line = rest == b"\r" and end == len(data)
+        end = len(data) - len(data[position:].lstrip(EMPTY_LINE_BYTES))
         self._framing_bytes += end - position
-        if rest and not self._half_empty_line:
-            raise CallerRefusedError(CallerRefusal(400, "an empty line does not end with CR and LF", "head"))
         if self._framing_bytes > limits.header_bytes:
             raise CallerRefusedError(large_head(limits))
+        lines = (b"\r" if self._half_empty_line else b"") + data[position:end]
+        whole, self._half_empty_line = len(lines) // 2, len(lines) % 2 == 1
+        expected = b"\r\n" * whole + (b"\r" if self._half_empty_line else b"")
+        if lines != expected or (self._half_empty_line and end < len(data)):
+            raise CallerRefusedError(CallerRefusal(400, "an empty line does not end with CR and LF", "head"))
         return end
 
     def end_of_step(self, data: bytes, position: int, in_body: bool) -> int:
