Drop what callers have sent before they left

Cause: the end of a stream is seen only once all bytes before it have been read, and a connection that waits for its turn, or whose next requests wait behind an answer, is not read. The host parsed up to a whole body of each connection that was closed long before.

Change: before a part that continues a request, or a request that has waited behind an answer, is processed, poll tells whether the peer has ended its side or reset the connection; the connection is closed then. A caller that ends its side counts as one that has left, as docs/settings.md says; nothing of these requests has run.

Both tests fail before and pass after.

--- a/hawthornbridge/callerprotocol.py
+++ b/hawthornbridge/callerprotocol.py
@@ -20,7 +20,7 @@
 from hawthornbridge.outcomes import RefusalKind
 from hawthornbridge.requestheads import MAX_HEADERS, many_headers, read_head
 from hawthornbridge.requestsizes import FIRST_READ_BYTES, RequestSizes
-from hawthornbridge.sockets import has_unread_bytes, is_reset
+from hawthornbridge.sockets import has_ended, has_unread_bytes, is_reset
 
 __all__ = ["CallerProtocol"]
 
@@ -122,7 +122,11 @@
         elif self._pending:
             self._hold(data)
             self._count_memory()
-        elif self._phase is CallerPhase.BETWEEN or self.bounds.turns.take(self, work_of(data)):
+        elif self._phase is CallerPhase.BETWEEN:
+            self._receive(data)
+        elif self._has_left():
+            self.transport.close()
+        elif self.bounds.turns.take(self, work_of(data)):
             self._receive(data)
         else:
             self._hold(data)
@@ -250,14 +254,22 @@
     def _is_answering(self) -> bool:
         return self._phase is CallerPhase.BETWEEN and self._is_in_progress()
 
+    def _has_left(self) -> bool:
+        # What a caller has sent before it left may take the host long, and nobody waits for the answer.
+        return has_ended(self.transport.get_extra_info("socket"))
+
     def _has_unread_bytes(self) -> bool:
         # A connection that is closed with unread bytes is reset, and the request is lost without an answer.
         return has_unread_bytes(self.transport.get_extra_info("socket"))
 
     def _resume(self) -> None:
+        """Go on with the input that waits; close a connection whose caller has left meanwhile."""
         data, self._pending = self._pending, b""
         if not data or self._is_refused or self._ends or self.transport.is_closing():
             return
+        if self._has_left():
+            self.transport.close()
+            return
         self._unset_keepalive_if_required()
         self.flow.resume_reading()
         self._receive(data)
--- a/hawthornbridge/sockets.py
+++ b/hawthornbridge/sockets.py
@@ -7,7 +7,15 @@
 import struct
 from collections.abc import Sequence
 
-__all__ = ["BACKLOG", "accept_all", "drop_new_connections", "has_unread_bytes", "is_reset", "listening_sockets"]
+__all__ = [
+    "BACKLOG",
+    "accept_all",
+    "drop_new_connections",
+    "has_ended",
+    "has_unread_bytes",
+    "is_reset",
+    "listening_sockets",
+]
 
 BACKLOG = 2_048
 
@@ -85,6 +93,13 @@
     return bool(poll.poll(0))
 
 
+def has_ended(connection: socket.socket) -> bool:
+    """Return whether the peer has ended its side or reset the connection, also if what it sent before is not read."""
+    poll = select.poll()
+    poll.register(connection, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def is_reset(connection: socket.socket) -> bool:
     """Return whether the peer has reset the connection, so that nothing can be sent or read any more."""
     poll = select.poll()
--- a/tests/test_callerprotocol.py
+++ b/tests/test_callerprotocol.py
@@ -15,6 +15,7 @@
 from hawthornbridge.callerprotocol import CallerProtocol
 from hawthornbridge.callers import send_json
 from hawthornbridge.inputturns import InputTurns
+from hawthornbridge.requestsizes import FIRST_READ_BYTES
 from tests.callerconnections import Connection, settle
 from tests.executedlines import executed_lines
 
@@ -48,6 +49,15 @@
 )
 
 
+def tcp_pair():
+    with socket.socket() as listening:
+        listening.bind(("127.0.0.1", 0))
+        listening.listen()
+        client = socket.create_connection(listening.getsockname())
+        accepted, _ = listening.accept()
+    return client, accepted
+
+
 def split(content, positions):
     edges = [0, *sorted({position % (len(content) + 1) for position in positions}), len(content)]
     return [content[start:end] for start, end in itertools.pairwise(edges) if start < end]
@@ -284,11 +294,7 @@
     async def run():
         connection = Connection(CallerBounds(LIMITS, MACHINE))
         protocol = connection.protocol
-        with socket.socket() as listening:
-            listening.bind(("127.0.0.1", 0))
-            listening.listen()
-            client = socket.create_connection(listening.getsockname())
-            accepted, _ = listening.accept()
+        client, accepted = tcp_pair()
         # A transport on a real socket takes the place of the one in memory.
         await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, accepted)
         client.send(POST[:-2])
@@ -649,3 +655,58 @@
         return results
 
     assert asyncio.run(run()) == ([200, 200], True)
+
+
+LEFT_CONNECTIONS = 20
+LEFT_CHUNKS = 20_000
+
+
+def test_what_callers_have_sent_before_they_left_is_not_processed():
+    """Guards against a host that is busy for long with what closed connections have left."""
+
+    async def run():
+        bounds = CallerBounds(CallerLimits(), MACHINE)
+        connections = [Connection(bounds) for _ in range(LEFT_CONNECTIONS)]
+        for connection in connections:
+            client, accepted = socket.socketpair()
+            client.setblocking(False)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1_048_576)
+            client.send(CHUNKED_HEAD + b"1\r\nx\r\n" * LEFT_CHUNKS)
+            client.close()
+            protocol = connection.protocol
+            # A transport on a real socket takes the place of the one in memory.
+            await asyncio.get_running_loop().connect_accepted_socket(lambda protocol=protocol: protocol, accepted)
+        while not all(connection.protocol.transport.is_closing() for connection in connections):
+            await asyncio.sleep(0)
+        processed = [connection.protocol._sizes.body_bytes for connection in connections]
+        for connection in connections:
+            connection.close()
+        return processed, len(bounds.turns)
+
+    processed, waiting = asyncio.run(run())
+    # One read may be processed before the connection waits, and one is in progress then.
+    assert max(processed) <= 2 * FIRST_READ_BYTES
+    assert waiting == 0
+
+
+def test_requests_that_wait_behind_an_answer_are_dropped_with_their_caller():
+    """Guards against requests that run although their caller left before they were read."""
+
+    async def run():
+        connection = Connection(CallerBounds(LIMITS, MACHINE))
+        connection.hold = asyncio.Event()
+        client, accepted = tcp_pair()
+        protocol = connection.protocol
+        # A transport on a real socket takes the place of the one in memory.
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, accepted)
+        # Far more than is read at once, so that the end of the stream is not seen.
+        client.sendall(GET * 2_000)
+        await settle(lambda: connection.bodies and protocol.flow.read_paused)
+        client.shutdown(socket.SHUT_WR)
+        connection.hold.set()
+        await settle(protocol.transport.is_closing)
+        connection.close()
+        client.close()
+        return connection.bodies
+
+    assert asyncio.run(run()) == [b""]
