Bound what the system keeps of callers' connections until it is read

Cause: Linux grants each connection 128 KB at first and up to 32 MB on this machine once it has been read; the limits on callers bound only what the host itself holds.

A change of the settings holds for connections that are accepted from then on.

--- a/hawthornbridge/callerlimits.py
+++ b/hawthornbridge/callerlimits.py
@@ -1,6 +1,7 @@
 """Limits on what callers may send and hold: those of one connection, and those of all connections together."""
 
 import resource
+import socket
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -35,6 +36,12 @@
 FILE_DESCRIPTORS = 200
 # The rest of the sockets serves leaves, the store and other hosts.
 CALLER_SOCKET_SHARE = 0.5
+# Part of the free memory for bytes that the system has received from callers and that the host has not read.
+# Linux keeps up to twice the size that is set.
+RECEIVED_MEMORY_DIVISOR = 4
+MIN_RECEIVE_BUFFER_BYTES = 8_192
+# A body in the limits of most configurations passes in a few round trips.
+MAX_RECEIVE_BUFFER_BYTES = 65_536
 MIN_CONNECTIONS = 16
 # The host reads a body to its end before it forwards a request, so that a slow body is no use to its caller.
 BODY_S = 30.0
@@ -74,6 +81,12 @@
         sockets = min(known, default=MEGABYTE) - FILE_DESCRIPTORS
         return max(MIN_CONNECTIONS, int(sockets * CALLER_SOCKET_SHARE))
 
+    def receive_buffer_bytes(self) -> int:
+        """Return how many bytes the system may keep for each connection of a caller until the host reads them."""
+        free = (self.memory_bytes - PROCESS_BYTES) // RECEIVED_MEMORY_DIVISOR
+        share = free // self.caller_connections()
+        return min(max(share, MIN_RECEIVE_BUFFER_BYTES), MAX_RECEIVE_BUFFER_BYTES)
+
 
 class CallerConnection(Protocol):
     """Connection of a caller, as the limits of all connections see it."""
@@ -182,13 +195,28 @@
         self.memory = CallerMemory(machine.caller_bytes())
         self.room = CallerRoom(machine.caller_connections())
         self.turns = InputTurns()
+        self._machine = machine
+        self._listening: list[socket.socket] = []
         self._log = LogBudget(time.monotonic)
 
     def set_machine(self, machine: MachineLimits) -> None:
-        """Follow changed settings."""
+        """Follow changed settings; the sizes of buffers hold for connections that are accepted from then on."""
+        self._machine = machine
+        self._bound_buffers()
         self.memory.max_bytes = machine.caller_bytes()
         self.room.max_connections = machine.caller_connections()
 
+    def add_listening(self, sockets: Iterable[socket.socket]) -> None:
+        """Bound what the system keeps for connections that are accepted on these sockets."""
+        self._listening += sockets
+        self._bound_buffers()
+
+    def _bound_buffers(self) -> None:
+        self._listening = [each for each in self._listening if each.fileno() >= 0]
+        for each in self._listening:
+            # Accepted connections take the size over.
+            each.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._machine.receive_buffer_bytes())
+
     def report_refusal(self, address: str, status: int, detail: str) -> None:
         """Log a refusal, unless many were logged just before."""
         if self._log.take():
--- a/hawthornbridge/listeners.py
+++ b/hawthornbridge/listeners.py
@@ -80,8 +80,8 @@
         """Create a listener that waits at most address_wait_s for addresses that other processes have."""
         self._app = app
         self._addresses = [addresses] if isinstance(addresses, str) else list(addresses)
-        bounds = limits if isinstance(limits, CallerBounds) else bounds_of(limits)
-        protocol = type("BoundedProtocol", (CallerProtocol,), {"bounds": bounds})
+        self._bounds = limits if isinstance(limits, CallerBounds) else bounds_of(limits)
+        protocol = type("BoundedProtocol", (CallerProtocol,), {"bounds": self._bounds})
         config = Config(
             self._serve_request,
             interface="asgi3",
@@ -105,6 +105,7 @@
         """Listen and serve; return once the listener is drained."""
         with contextlib.ExitStack() as stack:
             listening = [stack.enter_context(each) for each in await self._open_sockets()]
+            self._bounds.add_listening(listening)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._run_server, listening)
                 while not self._server.started:
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -1,8 +1,9 @@
 import resource
+import socket
 
 import pytest
 
-from hawthornbridge.callerlimits import MEGABYTE, CallerMemory, CallerRoom, MachineLimits
+from hawthornbridge.callerlimits import MEGABYTE, CallerBounds, CallerLimits, CallerMemory, CallerRoom, MachineLimits
 
 
 class FakeConnection:
@@ -107,3 +108,29 @@
 @pytest.mark.parametrize(("memory_mb", "caller_mb"), [(300, 42), (152, 17.3), (32, 2)])
 def test_callers_hold_a_part_of_what_the_process_leaves_free(memory_mb, caller_mb):
     assert MachineLimits(memory_mb * MEGABYTE).caller_bytes() == pytest.approx(caller_mb * MEGABYTE, rel=0.01)
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "descriptors", "buffer_bytes"), [(300, 4_100, 33_877), (64, 300, 65_536), (64, 1_300, 8_192)]
+)
+def test_unread_bytes_of_all_connections_have_a_part_of_the_memory(monkeypatch, memory_mb, descriptors, buffer_bytes):
+    """Guards against a machine whose memory the system fills with what the host has not read."""
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+    machine = MachineLimits(memory_mb * MEGABYTE, descriptors)
+    assert machine.receive_buffer_bytes() == buffer_bytes
+    assert 2 * buffer_bytes * machine.caller_connections() <= 0.55 * (memory_mb - 48) * MEGABYTE
+
+
+def test_connections_accepted_after_a_change_of_the_settings_have_other_buffers():
+    bounds = CallerBounds(CallerLimits(), MachineLimits(64 * MEGABYTE, 300))
+    sizes = []
+    with socket.socket() as listening, socket.socket() as closed:
+        listening.bind(("127.0.0.1", 0))
+        listening.listen()
+        bounds.add_listening([listening, closed])
+        closed.close()
+        for descriptors in (300, 1_300):
+            bounds.set_machine(MachineLimits(64 * MEGABYTE, descriptors))
+            with socket.create_connection(listening.getsockname()), listening.accept()[0] as accepted:
+                sizes.append(accepted.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF))
+    assert sizes == [2 * 65_536, 2 * 8_192]
