Let new requests at other listeners than the callers' wait for their turns

Cause: all listeners share one event loop, and each new request is read and answered in the turn in which it arrives.

Ruled out: limits on one connection; these requests are inside all of them. A smaller share for accepting does not help either, since the connections are kept.

The crowd is frozen in, so that no speed counts.

The measuring tool plays these modes, and any other at any listener.

--- a/hawthornbridge/callerlimits.py
+++ b/hawthornbridge/callerlimits.py
@@ -190,8 +190,10 @@
 class CallerBounds:
     """Limits of all listeners of a process, with what their callers hold; the limits may change while they serve."""
 
-    def __init__(self, limits: CallerLimits, machine: MachineLimits) -> None:
+    def __init__(self, limits: CallerLimits, machine: MachineLimits, urgent_port: int | None = None) -> None:
+        """Create the limits; with an urgent port, new requests at all others wait for their turns."""
         self.limits = limits
+        self._urgent_port = urgent_port
         self.memory = CallerMemory(machine.caller_bytes())
         self.room = CallerRoom(machine.caller_connections())
         self.turns = InputTurns()
@@ -199,6 +201,10 @@
         self._listening: list[socket.socket] = []
         self._log = LogBudget(time.monotonic)
 
+    def is_urgent(self, port: int | None) -> bool:
+        """Return whether new requests at a port are processed at once."""
+        return self._urgent_port is None or port == self._urgent_port
+
     def set_machine(self, machine: MachineLimits) -> None:
         """Follow changed settings; the sizes of buffers hold for connections that are accepted from then on."""
         self._machine = machine
--- a/hawthornbridge/callerprotocol.py
+++ b/hawthornbridge/callerprotocol.py
@@ -96,6 +96,7 @@
         # What is unsent is counted from its first byte that counts to its last.
         transport.set_write_buffer_limits(high=MIN_COUNTED_BYTES, low=0)
         self._last_event_s = self.loop.time()
+        self._is_urgent = self.server is None or self.bounds.is_urgent(self.server[1])
         self._sizes = RequestSizes()
         self._timers = CallerTimers(transport, self.bounds, self._on_timeout)
         if not self.bounds.room.enter(self._address, self):
@@ -123,14 +124,11 @@
             self._hold(data)
             self._count_memory()
         elif self._phase is CallerPhase.BETWEEN:
-            self._receive(data)
+            self._receive_in_turn(data, 0 if self._is_urgent else UNITS_PER_REQUEST)
         elif self._has_left():
             self.transport.close()
-        elif self.bounds.turns.take(self, work_of(data)):
-            self._receive(data)
         else:
-            self._hold(data)
-            self._count_memory()
+            self._receive_in_turn(data, work_of(data))
 
     def take_turn(self) -> None:
         """Go on with the input that waits, or read on."""
@@ -278,6 +276,14 @@
         self._pending += data
         self.flow.pause_reading()
 
+    def _receive_in_turn(self, data: bytes, units: int) -> None:
+        """Process bytes at once if their work fits into this turn of the event loop."""
+        if not units or self.bounds.turns.take(self, units):
+            self._receive(data)
+        else:
+            self._hold(data)
+            self._count_memory()
+
     def _receive(self, data: bytes) -> None:
         """Parse bytes up to the end of the first request that has to be answered before the next one."""
         position = 0
--- a/hawthornbridge/entryhost.py
+++ b/hawthornbridge/entryhost.py
@@ -123,7 +123,9 @@
         self.hosts = HostList(own, settings.domains * MIN_HOSTS_PER_DOMAIN, clock)
         self._presence = Presence(store, own, clock, self.hosts.is_serving, is_spare=self.hosts.is_spare)
         self._load = LoopLoad(self._on_load)
-        self._callers = CallerBounds(CallerLimits(), settings.machine)
+        # Crowds at the other listeners must not keep callers waiting.
+        callers_port = int(settings.addresses.callers.rpartition(":")[2])
+        self._callers = CallerBounds(CallerLimits(), settings.machine, callers_port)
         bounds = settings.bounds
         self.table = LeafTable(
             settings.domain,
--- a/measure/hostileload.py
+++ b/measure/hostileload.py
@@ -18,6 +18,7 @@
 import cappa
 import msgspec
 
+from hawthornbridge.platform.apps import METRICS_PORT
 from measure.hostilecrowd import MODES
 from standins.platformleaf import PlatformLeaf
 from standins.platformstore import PlatformStore
@@ -54,6 +55,7 @@
     modes: Annotated[list[str], cappa.Arg(help="Modes of the crowd, or `mixed`, or `all`.")]
     connections: Annotated[int, cappa.Arg(long=True, help="Connections to all hosts together.")] = 1_500
     length_s: Annotated[float, cappa.Arg(long=True, help="How long the crowd sends.")] = 15.0
+    listener: Annotated[str, cappa.Arg(long=True, help="Listener that the crowd sends to.")] = "front"
 
 
 @dataclass
@@ -74,7 +76,7 @@
 @dataclass
 class _Host:
     ip: str
-    port: int
+    ports: dict[str, int]
     process: subprocess.Popen[bytes]
 
     def private_mb(self) -> float:
@@ -128,7 +130,7 @@
         }
         with (folder / f"n{number}.log").open("wb") as log:
             process = subprocess.Popen([sys.executable, *command], cwd=ROOT, env=environment, stdout=log, stderr=log)
-        hosts.append(_Host(ip, ports["front"], process))
+        hosts.append(_Host(ip, ports | {"metrics": METRICS_PORT}, process))
     return hosts
 
 
@@ -148,7 +150,7 @@
         try:
             async with asyncio.timeout(CALL_LIMIT_S):
                 if writer is None:
-                    reader, writer = await asyncio.open_connection(host.ip, host.port)
+                    reader, writer = await asyncio.open_connection(host.ip, host.ports["front"])
                 is_answered = await _ask(reader, writer, number)
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             is_answered = False
@@ -194,7 +196,7 @@
         phases.append(Calls())
         each = command.connections // len(hosts) // PROCESSES_PER_HOST
         for host in hosts:
-            arguments = ["-m", "measure.hostilecrowd", host.ip, str(host.port), str(each), *modes]
+            arguments = ["-m", "measure.hostilecrowd", host.ip, str(host.ports[command.listener]), str(each), *modes]
             crowd += [subprocess.Popen([sys.executable, *arguments], cwd=ROOT) for _ in range(PROCESSES_PER_HOST)]
         await asyncio.sleep(command.length_s)
         phases.append(Calls())
@@ -204,7 +206,9 @@
         used_s = [host.processor_s() - before for host, before in zip(hosts, used_s, strict=True)]
         await asyncio.sleep(AFTER_S)
         ends = [host.process.poll() for host in hosts]
-        print(f"{name}, {command.connections} connections, {command.length_s:.0f} s: ends {ends}")
+        print(
+            f"{name} at {command.listener}, {command.connections} connections, {command.length_s:.0f} s: ends {ends}"
+        )
         print(f"  peak MB {[round(each) for each in most_mb]}, processor s {[round(each, 1) for each in used_s]}")
         for title, calls in zip(("before", "during", "after"), phases, strict=True):
             print(f"  {title}: {calls.text()}", flush=True)
@@ -225,7 +229,7 @@
         for host in hosts:
             while True:
                 with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                    reader, writer = await asyncio.open_connection(host.ip, host.port)
+                    reader, writer = await asyncio.open_connection(host.ip, host.ports["front"])
                     is_answered = await _ask(reader, writer, 0)
                     writer.close()
                     if is_answered:
--- a/tests/hostileclients.py
+++ b/tests/hostileclients.py
@@ -16,6 +16,7 @@
 import anyio
 import pytest
 
+from hawthornbridge.sockets import has_unread_bytes
 from standins.platformleaf import PlatformLeaf
 from standins.platformstore import PlatformStore
 from tests.test_platform_daemon import DEPLOYED_COMMAND, QUERY, Daemon, configuration, forwarding, wait_for_line
@@ -170,6 +171,15 @@
                         progress = True
             await anyio.sleep(ACKNOWLEDGED_S)
 
+    async def send_all(self, content):
+        """Send the same over all connections."""
+        for connection in self._connections:
+            await self.send(connection, content)
+
+    def answered(self):
+        """Return how many connections have received something."""
+        return sum(has_unread_bytes(connection) for connection in self._connections)
+
     async def unread_bytes(self, daemon):
         """Return the bytes that the kernel has taken and that a frozen daemon has not read."""
         await anyio.sleep(ACKNOWLEDGED_S)
@@ -182,13 +192,13 @@
     async def send(self, connection, request):
         await asyncio.get_running_loop().sock_sendall(connection, request)
 
-    async def receive(self, connection):
+    async def receive(self, connection, status=b"200"):
         """Wait for an answer without a body."""
         with anyio.fail_after(HANG_S):
             answer = b""
             while not answer.endswith(b"\r\n\r\n"):
                 answer += await asyncio.get_running_loop().sock_recv(connection, 1_000)
-        assert answer.startswith(b"HTTP/1.1 200"), answer
+        assert answer.startswith(b"HTTP/1.1 " + status), answer
 
     def close(self):
         for connection in self._connections:
--- a/tests/test_hostilecrowds.py
+++ b/tests/test_hostilecrowds.py
@@ -44,6 +44,13 @@
 # What one client may send of one request in chunks of a byte, which all of a crowd may take from an ordinary request.
 BODY_IN_CHUNKS_BYTES = BODY_BYTES * len(TINY_CHUNK)
 READY = b"GET /ready HTTP/1.1\r\nhost: h.example\r\n\r\n"
+RESOLVE = b"GET /resolve?name=h.example&region=r1&zone=z1 HTTP/1.1\r\nhost: h.example\r\n\r\n"
+METRICS = b"GET /metrics HTTP/1.1\r\nhost: h.example\r\n\r\n"
+SNAPSHOT = b"GET /snapshot HTTP/1.1\r\nhost: h.example\r\n\r\n"
+OTHER_REQUESTS = {"ready": READY, "directory": RESOLVE, "control": SNAPSHOT, "metrics": METRICS}
+OTHER_CROWD = 200
+# A tenth of the crowd.
+MOST_ANSWERED = 20
 NOT_FOUND = b"GET /none HTTP/1.1\r\nhost: h.example\r\n\r\n"
 
 
@@ -85,6 +92,28 @@
     assert read < BODY_IN_CHUNKS_BYTES
 
 
+@pytest.mark.parametrize("listener", ["ready", "directory", "control", "metrics"])
+async def test_a_caller_waits_for_few_requests_at_other_listeners(site, listener):
+    """Guards against a host that answers a crowd at another of its listeners before it answers a caller."""
+    daemon, crowd_at, _, _ = site
+    await raise_descriptors(daemon)
+    crowd, ordinary = crowd_at(listener), crowd_at()
+    for _ in range(OTHER_CROWD):
+        await crowd.connect()
+    caller = await ordinary.connect()
+    await wait_for_sockets(daemon, OTHER_CROWD + 1)
+    with frozen(daemon):
+        await crowd.send_all(OTHER_REQUESTS[listener])
+        await ordinary.send(caller, NOT_FOUND)
+        with stopped_by_answers(daemon, caller):
+            daemon.process.send_signal(signal.SIGCONT)
+            await ordinary.receive(caller, b"404")
+        answered = crowd.answered()
+    print(f"{answered} of {OTHER_CROWD} were answered before the caller")
+    await check_sound(daemon, 0, max_sockets=WHOLE_MAX_FDS - 200)
+    assert answered < MOST_ANSWERED
+
+
 async def test_bytes_that_nobody_has_read_are_within_the_memory(site):
     """Guards against bytes that wait in the kernel, which count as the machine's memory."""
     daemon, crowd_at, _, _ = site
@@ -115,10 +144,8 @@
 async def test_answers_that_nobody_reads_cost_little_memory_at_any_listener(site, listener):
     """Guards against unread answers that are bounded only where callers ask."""
     daemon, crowd_at, _, _ = site
-    path = {"directory": b"/resolve?name=h.example&region=r1&zone=z1", "metrics": b"/metrics"}[listener]
-    request = b"GET " + path + b" HTTP/1.1\r\nhost: h.example\r\n\r\n"
     crowd = crowd_at(listener)
-    clients = [crowd.flood_answered(request) for _ in range(PIPELINED_CROWD)]
+    clients = [crowd.flood_answered(OTHER_REQUESTS[listener]) for _ in range(PIPELINED_CROWD)]
     _, most_sockets = await play(daemon, clients)
     await check_sound(daemon, most_sockets)
 
