--- a/measure/hostileload.py
+++ b/measure/hostileload.py
@@ -32,6 +32,8 @@
 AFTER_S = 3.0
 PROCESSES_PER_HOST = 2
 CALLERS = 6
+# Ordinary callers come from another address than the crowd.
+CALLER_ADDRESS = ("127.0.0.9", 0)
 CALL_PAUSE_S = 0.1
 CALL_LIMIT_S = 2.0
 # Limits of the machine and of the configuration, as on the users' sheets.
@@ -150,7 +152,9 @@
         try:
             async with asyncio.timeout(CALL_LIMIT_S):
                 if writer is None:
-                    reader, writer = await asyncio.open_connection(host.ip, host.ports["front"])
+                    reader, writer = await asyncio.open_connection(
+                        host.ip, host.ports["front"], local_addr=CALLER_ADDRESS
+                    )
                 is_answered = await _ask(reader, writer, number)
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             is_answered = False
