--- a/hawthornbridge/callerlimits.py
+++ b/hawthornbridge/callerlimits.py
@@ -5,8 +5,9 @@
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Protocol
 
+from hawthornbridge.callermemory import CallerMemory
+from hawthornbridge.callerroom import CallerRoom
 from hawthornbridge.events import Event, emit
 from hawthornbridge.inputturns import InputTurns
 from hawthornbridge.logbudget import LogBudget
@@ -14,19 +15,13 @@
 
 __all__ = [
     "MEGABYTE",
-    "MIN_COUNTED_BYTES",
     "CallerBounds",
-    "CallerConnection",
     "CallerLimits",
-    "CallerMemory",
-    "CallerRoom",
     "MachineLimits",
     "bounds_of",
 ]
 
 MEGABYTE = 1_048_576
-# Connections that hold less are bounded by their number alone, which keeps small requests cheap.
-MIN_COUNTED_BYTES = 4_096
 # A process without callers holds about 40 MB. A held byte costs up to three in its copies for the gateway and a leaf,
 # and replies of leaves in progress take their own share of the memory.
 PROCESS_BYTES = 48 * MEGABYTE
@@ -88,105 +83,6 @@
         return min(max(share, MIN_RECEIVE_BUFFER_BYTES), MAX_RECEIVE_BUFFER_BYTES)
 
 
-class CallerConnection(Protocol):
-    """Connection of a caller, as the limits of all connections see it."""
-
-    @property
-    def is_idle(self) -> bool:
-        """Return whether nothing has been received since the latest answer."""
-
-    @property
-    def is_receiving(self) -> bool:
-        """Return whether a request has been received in part."""
-
-    @property
-    def is_answered(self) -> bool:
-        """Return whether only the rest of an answer, or of a body that was answered early, is left to transfer."""
-
-    def give_up_memory(self) -> bool:
-        """Release what the connection holds; return False if a whole request or its answer needs it."""
-
-    def close_for_room(self) -> None:
-        """Close the connection at once."""
-
-
-class CallerMemory:
-    """Bytes that all callers hold; above the limit the largest that can be released is."""
-
-    def __init__(self, max_bytes: int) -> None:
-        self.max_bytes = max_bytes
-        self._sizes: dict[CallerConnection, int] = {}
-        self._used = 0
-
-    @property
-    def used_bytes(self) -> int:
-        """Return the bytes of the connections that hold more than the minimum counted."""
-        return self._used
-
-    def record(self, connection: CallerConnection, size: int) -> None:
-        """Record the bytes that a connection holds."""
-        before = self._sizes.get(connection, 0)
-        if size < MIN_COUNTED_BYTES:
-            if before:
-                self.release(connection)
-            return
-        self._sizes[connection] = size
-        self._used += size - before
-        if self._used > self.max_bytes and size > before:
-            self._release_largest()
-
-    def release(self, connection: CallerConnection) -> None:
-        """Forget a connection that holds nothing any more."""
-        self._used -= self._sizes.pop(connection, 0)
-
-    def _release_largest(self) -> None:
-        # A single request is inside the limits of its connection, so it is served however little memory there is.
-        for connection in sorted(self._sizes, key=self._sizes.__getitem__, reverse=True):
-            if self._used <= self.max_bytes or len(self._sizes) == 1:
-                return
-            if connection.give_up_memory():
-                self.release(connection)
-
-
-class CallerRoom:
-    """Connections of all callers; while there is no room, the address with the most loses one that waits."""
-
-    def __init__(self, max_connections: int) -> None:
-        self.max_connections = max_connections
-        self._by_address: dict[str, dict[CallerConnection, None]] = {}
-        self._count = 0
-
-    def enter(self, address: str, connection: CallerConnection) -> bool:
-        """Take a connection in; return False if every other one is at work on a whole request."""
-        if self._count >= self.max_connections and not self._make_room():
-            return False
-        self._by_address.setdefault(address, {})[connection] = None
-        self._count += 1
-        return True
-
-    def leave(self, address: str, connection: CallerConnection) -> None:
-        """Forget a connection that is closed."""
-        group = self._by_address.get(address)
-        if group is None or connection not in group:
-            return
-        del group[connection]
-        self._count -= 1
-        if not group:
-            del self._by_address[address]
-
-    def _make_room(self) -> bool:
-        addresses = sorted(self._by_address, key=lambda each: -len(self._by_address[each]))
-        # An answer is cut only where nothing else gives way.
-        for choose in (_unused, _answered):
-            for address in addresses:
-                victim = choose(self._by_address[address])
-                if victim is not None:
-                    self.leave(address, victim)
-                    victim.close_for_room()
-                    return True
-        return False
-
-
 class CallerBounds:
     """Limits of all listeners of a process, with what their callers hold; the limits may change while they serve."""
 
@@ -241,13 +137,3 @@
         body_s=2 * read_s,
     )
     return CallerBounds(per_caller, MachineLimits())
-
-
-def _unused(group: Iterable[CallerConnection]) -> CallerConnection | None:
-    # The order of a group is that in which its connections were opened.
-    idle = next((each for each in group if each.is_idle), None)
-    return idle or next((each for each in group if each.is_receiving), None)
-
-
-def _answered(group: Iterable[CallerConnection]) -> CallerConnection | None:
-    return next((each for each in group if each.is_answered), None)
--- a/hawthornbridge/callerprotocol.py
+++ b/hawthornbridge/callerprotocol.py
@@ -12,7 +12,8 @@
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from hawthornbridge.callerlimits import MIN_COUNTED_BYTES, CallerBounds
+from hawthornbridge.callerlimits import CallerBounds
+from hawthornbridge.callermemory import MIN_COUNTED_BYTES
 from hawthornbridge.callerphase import CallerPhase
 from hawthornbridge.callerrefusals import CallerRefusal, CallerRefusedError
 from hawthornbridge.callertimers import CallerTimers
--- a/hawthornbridge/requestsizes.py
+++ b/hawthornbridge/requestsizes.py
@@ -1,6 +1,7 @@
 """Sizes of the request that a caller's connection receives, and the limits on them."""
 
-from hawthornbridge.callerlimits import MIN_COUNTED_BYTES, CallerLimits
+from hawthornbridge.callerlimits import CallerLimits
+from hawthornbridge.callermemory import MIN_COUNTED_BYTES
 from hawthornbridge.callerrefusals import CallerRefusal, CallerRefusedError
 from hawthornbridge.requestheads import RequestHead, large_body, large_head
 
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -3,7 +3,9 @@
 
 import pytest
 
-from hawthornbridge.callerlimits import MEGABYTE, CallerBounds, CallerLimits, CallerMemory, CallerRoom, MachineLimits
+from hawthornbridge.callerlimits import MEGABYTE, CallerBounds, CallerLimits, MachineLimits
+from hawthornbridge.callermemory import CallerMemory
+from hawthornbridge.callerroom import CallerRoom
 
 
 class FakeConnection:
